Serve the users' platform: entry and control instances, adapter, deploy files

Cause: the platform needs byte-for-byte forwarding, a policy where the highest version wins, and roll-outs; the product had JSON completions and compare-and-set documents. Ruled out: feeding the platform's document through the existing coordinator, whose full mesh and base revisions fit neither the instance count nor the order of versions.

--- a/internal/applier/command.go
+++ b/internal/applier/command.go
@@ -19,6 +19,9 @@
 	Started *Started        `cbor:"5,keyasint,omitempty"`
 	InForce *InForce        `cbor:"6,keyasint,omitempty"`
 	Age     *Age            `cbor:"7,keyasint,omitempty"`
+	Publish *Policy         `cbor:"8,keyasint,omitempty"`
+	RollOut *RollOut        `cbor:"9,keyasint,omitempty"`
+	Settle  *Settle         `cbor:"10,keyasint,omitempty"`
 }
 
 // Started says that an instance has begun a new incarnation, so what its earlier ones ran is in doubt.
@@ -48,6 +51,8 @@
 	Reused   *changer.ReusedIDError `cbor:"4,keyasint,omitempty"`
 	Invalid  *changer.InvalidError  `cbor:"5,keyasint,omitempty"`
 	Problems decoder.Problems       `cbor:"6,keyasint,omitempty"`
+	// Version is the policy's version in force after a published policy.
+	Version int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Err returns the refusal that the result holds, or nil.
--- /dev/null
+++ b/internal/applier/pack.go
@@ -0,0 +1,34 @@
+package applier
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/gravitational/trace"
+)
+
+// maxPolicyText bounds the text of a policy, in bytes.
+const maxPolicyText = 32 << 20
+
+// NewPolicy returns a policy whose text is compressed, since it crosses between data centres several times.
+func NewPolicy(version int64, text []byte) (Policy, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return Policy{}, trace.Wrap(err)
+	}
+	if _, err := w.Write(text); err != nil {
+		return Policy{}, trace.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return Policy{}, trace.Wrap(err)
+	}
+	return Policy{Version: version, Text: b.Bytes()}, nil
+}
+
+// Plain returns the text as the operator sent it.
+func (p Policy) Plain() ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Text)), maxPolicyText))
+	return text, trace.Wrap(err)
+}
--- a/internal/applier/state.go
+++ b/internal/applier/state.go
@@ -24,6 +24,8 @@
 	environments map[string]*changer.State
 	claims       *claimer.Book
 	trail        auditor.Trail
+	policy       Policy
+	rollOuts     map[string]RollOut
 }
 
 // data is the form of the state in a snapshot.
@@ -31,11 +33,13 @@
 	Environments []changer.Data  `cbor:"1,keyasint"`
 	Claims       []claimer.Claim `cbor:"2,keyasint"`
 	Trail        auditor.Trail   `cbor:"3,keyasint"`
+	Policy       Policy          `cbor:"4,keyasint,omitempty"`
+	RollOuts     []RollOut       `cbor:"5,keyasint,omitempty"`
 }
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{environments: map[string]*changer.State{}, claims: claimer.NewBook(nil)}
+	return &State{environments: map[string]*changer.State{}, claims: claimer.NewBook(nil), rollOuts: map[string]RollOut{}}
 }
 
 // Restore replaces the state by that of a snapshot; an empty snapshot gives the empty state.
@@ -64,12 +68,16 @@
 	}
 	s.claims = claimer.NewBook(d.Claims)
 	s.trail = d.Trail
+	s.policy = d.Policy
+	for _, r := range d.RollOuts {
+		s.rollOuts[r.Service] = r
+	}
 	return nil
 }
 
 // Snapshot prints the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	d := data{Claims: s.claims.Claims(), Trail: s.trail}
+	d := data{Claims: s.claims.Claims(), Trail: s.trail, Policy: s.policy, RollOuts: s.RollOuts()}
 	for _, name := range s.Environments() {
 		d.Environments = append(d.Environments, s.environments[name].Data())
 	}
@@ -106,6 +114,12 @@
 	switch {
 	case c.Change != nil:
 		return s.change(*c.Change)
+	case c.Publish != nil:
+		return s.publish(c.At, *c.Publish)
+	case c.RollOut != nil:
+		return s.startRollOut(c.At, *c.RollOut)
+	case c.Settle != nil:
+		return s.settleRollOut(c.At, *c.Settle)
 	case c.Take != nil:
 		claim := s.claims.Take(*c.Take)
 		return Result{Claim: &claim}, nil
--- a/internal/auditor/trail.go
+++ b/internal/auditor/trail.go
@@ -31,6 +31,9 @@
 const (
 	WhatAccepted = "accepted"
 	WhatInForce  = "in-force"
+	// WhatPublished tells of a policy in force, and WhatRollOut of a step of a roll-out.
+	WhatPublished = "published"
+	WhatRollOut   = "roll-out"
 )
 
 // MaxEntries bounds the trail that is kept; older entries live in the operators' copies.
--- a/internal/configurer/load.go
+++ b/internal/configurer/load.go
@@ -111,6 +111,7 @@
 	if s.Listen.Callers != "" && s.Listen.Callers == s.Listen.Control && !strings.HasSuffix(string(s.Listen.Callers), ":0") {
 		c.fail("listen", "control", "the address is the callers' address", "an address of its own")
 	}
+	c.checkAddresses()
 	if s.Document.File == "" && len(s.Peers.Seeds) == 0 {
 		c.fail("document", "file", "an instance without seeds needs a document", "a file, or seeds in [peers]")
 	}
@@ -119,6 +120,22 @@
 	}
 }
 
+// checkAddresses names the addresses that the role needs and lacks.
+func (c *checker) checkAddresses() {
+	l := c.settings.Listen
+	role := c.settings.Instance.Role
+	given := map[string]bool{"callers": l.Callers != "", "control": l.Control != "", "links": l.Links != "", "ready": l.Ready != ""}
+	needed := map[Role][]string{RoleWhole: {"callers", "control"}, RoleEntry: {"callers", "ready", "links"}, RoleControl: {"control", "links"}}
+	for _, key := range needed[role] {
+		if !given[key] {
+			c.fail("listen", key, "the role "+string(role)+" needs it", "an IP literal with a port")
+		}
+	}
+	if role == RoleControl && c.settings.Data.Folder == "" {
+		c.fail("data", "folder", "a control instance needs it", "a folder that this process can write to")
+	}
+}
+
 func (c *checker) checkLinks() {
 	l := c.settings.Links
 	given := 0
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -9,13 +9,26 @@
 type Instance struct {
 	Name       string `ini:"name" required:"yes" doc:"Name of the instance, unique in the fleet."`
 	DataCentre string `ini:"data-centre" required:"yes" doc:"Data centre that the instance runs in, as the document names it."`
+	Role       Role   `ini:"role" default:"whole" accept:"whole|entry|control" doc:"What the instance does: everything, only callers' requests, or only control."`
 }
 
+// Role says which part of the system an instance is.
+type Role string
+
+// The roles of an instance.
+const (
+	RoleWhole   Role = "whole"
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+)
+
 // Listen says where the instance accepts connections.
 type Listen struct {
-	Callers decoder.Address `ini:"callers" required:"yes" doc:"Address for callers."`
-	Control decoder.Address `ini:"control" required:"yes" doc:"Address for announcements, operators and metrics."`
-	Links   decoder.Address `ini:"links" doc:"Address for the links of other instances; the control address when empty."`
+	Callers decoder.Address `ini:"callers" doc:"Address for callers; control instances have none."`
+	Control decoder.Address `ini:"control" doc:"Address for announcements, operators and metrics; entry instances have none."`
+	Links   decoder.Address `ini:"links" doc:"Address for the links of other instances; the control address when empty. All control instances use the same port."`
+	Ready   decoder.Address `ini:"ready" doc:"Address at which an entry instance tells the balancer whether it takes callers."`
+	Metrics decoder.Address `ini:"metrics" doc:"Address of the metrics of entry and control instances; none when empty."`
 }
 
 // Links says how instances prove to each other who they are.
@@ -48,6 +61,8 @@
 type Record struct {
 	Voters       int          `ini:"voters" default:"3" min:"1" max:"7" doc:"Voters that the record keeps, among the instances with a data folder."`
 	ReplaceAfter timer.Millis `ini:"replace-after" default:"30s" min:"1s" doc:"Silence after which a lost voter is replaced by a spare."`
+	Losses       int          `ini:"losses" default:"1" min:"0" max:"3" doc:"Control instances that may be lost at once; a record of control instances keeps twice as many voters and one more, at least 3."`
+	Found        bool         `ini:"found" default:"no" doc:"Whether the control instances among the seeds make a new record together where their disks are empty."`
 }
 
 // Data says where the instance keeps what must outlast it.
@@ -58,6 +73,7 @@
 // Session says how session tokens are signed.
 type Session struct {
 	SecretFile string `ini:"secret-file" doc:"File with the secret that signs session tokens, the same on every instance; a random one when empty."`
+	Span       timer.Millis `ini:"span" default:"5s" min:"100ms" doc:"How long a session keeps its version on an entry instance without a request."`
 }
 
 // Limits bounds what callers can make the instance hold.
@@ -77,6 +93,13 @@
 	MaxExplained int           `ini:"max-explained" default:"10000" min:"0" max:"1000000" doc:"Most requests whose decisions are kept for explain."`
 }
 
+// Retries bounds what entry instances send more than once.
+type Retries struct {
+	Share  decoder.Share `ini:"share" default:"20%" doc:"Repeats as a share of first attempts."`
+	Slack  int           `ini:"slack" default:"2" min:"0" max:"1000" doc:"Repeats at each instance beyond the share, within a window."`
+	Window timer.Millis  `ini:"window" default:"10s" min:"1s" doc:"Time in which the slack grows back."`
+}
+
 // Servers says when an announced backend server counts as gone.
 type Servers struct {
 	Silence timer.Millis `ini:"silence" default:"2500ms" min:"100ms" max:"1m" doc:"Silence after which a backend server receives no new work."`
@@ -107,6 +130,7 @@
 	Data     Data
 	Session  Session
 	Limits   Limits
+	Retries  Retries
 	Servers  Servers
 	Stop     Stop
 	Log      Log
@@ -131,6 +155,7 @@
 		{"data", "What must outlast the process.", &s.Data},
 		{"session", "How sessions keep their version.", &s.Session},
 		{"limits", "What callers can make the instance hold.", &s.Limits},
+		{"retries", "What entry instances may send again.", &s.Retries},
 		{"servers", "When a backend server counts as gone.", &s.Servers},
 		{"stop", "How a planned stop proceeds.", &s.Stop},
 		{"log", "What is logged.", &s.Log},
--- /dev/null
+++ b/internal/forwarder/exchange.go
@@ -0,0 +1,143 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// dialLimit is how long a connection may take: a lost opening packet is sent again after a second, so that trying
+// another server is faster than waiting for it.
+const dialLimit = 600 * timer.Millisecond
+
+// outcome says how far an attempt came.
+type outcome uint8
+
+const (
+	// outcomeNotSent: nothing reached the server.
+	outcomeNotSent outcome = iota
+	// outcomeNotRun: the server says that it did not run the request.
+	outcomeNotRun
+	// outcomeUnknown: the request went out and no usable answer came.
+	outcomeUnknown
+	// outcomeAnswered: the head of an answer is there.
+	outcomeAnswered
+)
+
+// exchange is one attempt at one server.
+type exchange struct {
+	server  *server
+	conn    *conn
+	res     *http.Response
+	verdict Verdict
+	sentAt  timer.Millis
+	cancel  func() bool
+	err     error
+	// broke says that the server broke the connection, as one that crashes does.
+	broke bool
+}
+
+// end returns the connection for reuse when its answer was read to its end, and drops it otherwise.
+func (x *exchange) end(whole bool) {
+	if x.conn == nil {
+		return
+	}
+	live := x.cancel()
+	x.server.running.Add(-1)
+	if whole && live && !x.res.Close && x.conn.SetDeadline(time.Time{}) == nil {
+		if x.verdict.IdleSpan > 0 {
+			x.conn.idle = max(0, x.verdict.IdleSpan-idleMargin)
+		}
+		x.server.pool.put(x.conn)
+	} else {
+		_ = x.conn.Close()
+	}
+	x.conn = nil
+}
+
+// send makes one attempt and reads the head of the answer. A kept connection that turns out dead before the server
+// can have read the request is replaced by a new one.
+func (t *task) send(ctx context.Context, s *server, patience func(timer.Millis) bool) (*exchange, outcome) {
+	x := &exchange{server: s}
+	now := t.f.deps.Common.Clock.Now()
+	c := s.pool.get()
+	if c == nil {
+		var err error
+		if c, err = s.pool.dial(ctx, min(dialLimit, t.deadline-now)); err != nil {
+			x.err = err
+			return x, outcomeNotSent
+		}
+	}
+	x.conn = c
+	s.running.Add(1)
+	x.cancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	header := t.f.deps.Codec.Prepare(t.Request, t.attempt(s))
+	x.sentAt = t.f.deps.Common.Clock.Now()
+	if err := c.write(t.Request, header); err != nil {
+		return t.failed(x, err)
+	}
+	stop := t.watch(x, patience)
+	res, verdict, err := c.read(t.Method, t.ID, t.f.deps.Codec.Inspect)
+	stop()
+	if err != nil {
+		return t.failed(x, err)
+	}
+	x.res, x.verdict = res, verdict
+	now = t.f.deps.Common.Clock.Now()
+	s.lastByte.Store(int64(now))
+	s.report(verdict, now)
+	if verdict.Refused {
+		return x, outcomeNotRun
+	}
+	return x, outcomeAnswered
+}
+
+func (t *task) failed(x *exchange, err error) (*exchange, outcome) {
+	var timeout interface{ Timeout() bool }
+	x.err = err
+	x.broke = !(errors.As(err, &timeout) && timeout.Timeout()) && !errors.Is(err, errForeign)
+	x.end(false)
+	return x, outcomeUnknown
+}
+
+func (t *task) attempt(s *server) Attempt {
+	a := Attempt{Server: s.Name, TimeLeft: t.deadline - t.f.deps.Common.Clock.Now(), Model: t.model, LastEvent: t.LastEvent}
+	if t.workspace != nil {
+		a.Workspace = t.workspace.Name
+	}
+	a.Urgency = urgencyOf(t.route, t.workspace)
+	return a
+}
+
+// watchEvery is the time between looks at a server that has not answered.
+const watchEvery = 100 * timer.Millisecond
+
+// watch drops the connection when patience with a silent server ends; patience is asked with the time since the
+// request was sent, in milliseconds.
+func (t *task) watch(x *exchange, patience func(timer.Millis) bool) (stop func()) {
+	if patience == nil {
+		return func() {}
+	}
+	c := x.conn
+	var tick *time.Timer
+	done := make(chan struct{})
+	tick = time.AfterFunc(watchEvery.Duration(), func() {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		if !patience(t.f.deps.Common.Clock.Now() - x.sentAt) {
+			_ = c.SetReadDeadline(time.Now())
+			return
+		}
+		tick.Reset(watchEvery.Duration())
+	})
+	return func() {
+		close(done)
+		tick.Stop()
+	}
+}
--- /dev/null
+++ b/internal/launcher/control.go
@@ -0,0 +1,140 @@
+package launcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
+	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
+	"github.com/eelgrasshook/eelgrasshook/internal/steward"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+	"github.com/eelgrasshook/eelgrasshook/platform"
+)
+
+// controlStop bounds the end of a control instance's calls: the longest waits for a majority.
+const controlStop = 2 * timer.Second
+
+// Control is an instance that holds a member of the record and serves operators and backend servers.
+type Control struct {
+	common   observer.Common
+	settings configurer.Settings
+	record   *recorder.Record
+	steward  *steward.Steward
+	control  *listener
+	links    *listener
+	metrics  *listener
+}
+
+// NewControl builds a control instance; the error names the setting, folder or address at fault.
+func NewControl(common observer.Common, settings configurer.Settings) (*Control, error) {
+	c := &Control{common: common, settings: settings}
+	disk, err := recordDisk(settings.Data.Folder)
+	if err != nil {
+		return nil, err
+	}
+	self := string(settings.Listen.Links)
+	seeds := linkAddresses(settings)
+	var founders []string
+	if settings.Record.Found && slices.Contains(seeds, self) {
+		founders = slices.Sorted(slices.Values(seeds))
+	}
+	c.record, err = recorder.NewRecord(recorder.Deps{
+		Common: common, Instance: self, Disk: disk, Founders: founders,
+		Send:    func(m replicator.Message) { c.steward.SendRaft(m) },
+		Changed: func(s *applier.State) { c.steward.Changed(s) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.steward = steward.NewSteward(steward.Deps{
+		Common: common, Seeds: seeds, Record: c.record,
+		Self: messenger.Greeting{
+			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Address: self, Member: c.record.ID(),
+		},
+		Rules: steward.Rules{
+			Silence: settings.Servers.Silence, Forget: settings.Servers.Forget, ReplaceAfter: settings.Record.ReplaceAfter,
+			Voters: max(settings.Record.Voters, 2*settings.Record.Losses+1),
+		},
+	})
+	return c, c.listen()
+}
+
+func (c *Control) listen() error {
+	_, port, err := net.SplitHostPort(string(c.settings.Listen.Control))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if c.control, err = listenOn(c.settings.Listen.Control, c.settings); err != nil {
+		return err
+	}
+	c.control.server.Handler = platform.NewControl(c.common, c.steward, port)
+	if c.links, err = listenOn(c.settings.Listen.Links, c.settings); err != nil {
+		return err
+	}
+	c.links.server.Handler = c.steward.Ends()
+	if c.settings.Listen.Metrics == "" {
+		return nil
+	}
+	if c.metrics, err = listenOn(c.settings.Listen.Metrics, c.settings); err != nil {
+		return err
+	}
+	c.metrics.server.Handler = observer.MetricsHandler(c.common)
+	return nil
+}
+
+// Start links to the other instances and opens the control address.
+func (c *Control) Start() error {
+	c.record.Start()
+	c.steward.Start()
+	for _, l := range []*listener{c.links, c.control, c.metrics} {
+		if l != nil {
+			l.start()
+		}
+	}
+	c.common.Log.Info("control instance started", "instance", c.settings.Instance.Name, "member", c.record.ID(),
+		"voters", c.record.Status().Members.Voters, "seeds", linkAddresses(c.settings))
+	return nil
+}
+
+// Reload takes the seeds of changed settings; the addresses of a running process stay.
+func (c *Control) Reload(s configurer.Settings) {
+	c.settings.Peers = s.Peers
+	c.steward.SetSeeds(linkAddresses(c.settings))
+}
+
+// Failed is closed once the record cannot go on, for instance because its disk refuses writes.
+func (c *Control) Failed() <-chan struct{} {
+	return c.record.Dead()
+}
+
+// Stop hands leadership on, lets calls finish and ends.
+func (c *Control) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlStop.Duration())
+	defer cancel()
+	c.common.Log.Info("control instance stops", "role", c.record.Status().Role)
+	err := c.steward.Stop(ctx)
+	for _, l := range []*listener{c.control, c.metrics} {
+		if l != nil {
+			err = trace.NewAggregate(err, ignoreTimeout(l.stop(ctx)))
+		}
+	}
+	err = trace.NewAggregate(err, c.record.Stop())
+	c.common.Log.Info("control instance stopped", "error", err)
+	return err
+}
+
+// ignoreTimeout passes over calls that outlasted the stop: their callers ask elsewhere.
+func ignoreTimeout(err error) error {
+	if trace.IsConnectionProblem(err) || err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
--- a/internal/launcher/edges.go
+++ b/internal/launcher/edges.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/administrator"
 	"github.com/eelgrasshook/eelgrasshook/internal/certifier"
+	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
 	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
@@ -31,13 +32,17 @@
 
 // newListener takes the address at once, so that others can be told of it; it serves once it is started.
 func (i *Instance) newListener(address decoder.Address) (*listener, error) {
+	return listenOn(address, i.settings)
+}
+
+func listenOn(address decoder.Address, s configurer.Settings) (*listener, error) {
 	socket, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	server := &http.Server{
-		ReadHeaderTimeout: i.settings.Limits.HeaderWait.Duration(),
-		MaxHeaderBytes:    int(i.settings.Limits.MaxHeader),
+		ReadHeaderTimeout: s.Limits.HeaderWait.Duration(),
+		MaxHeaderBytes:    int(s.Limits.MaxHeader),
 		IdleTimeout:       idleTimeout,
 	}
 	return &listener{server: server, socket: socket}, nil
--- /dev/null
+++ b/internal/launcher/entry.go
@@ -0,0 +1,158 @@
+package launcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
+	"github.com/eelgrasshook/eelgrasshook/internal/forwarder"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
+	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+	"github.com/eelgrasshook/eelgrasshook/platform"
+)
+
+// Process is what the serve command starts, tells of changed settings and stops.
+type Process interface {
+	Start() error
+	Reload(configurer.Settings)
+	Stop() error
+}
+
+// NewProcess builds the part of the system that the settings name.
+func NewProcess(common observer.Common, settings configurer.Settings) (Process, error) {
+	switch settings.Instance.Role {
+	case configurer.RoleEntry:
+		return NewEntry(common, settings)
+	case configurer.RoleControl:
+		return NewControl(common, settings)
+	}
+	return NewInstance(common, settings)
+}
+
+const (
+	// stopReserve is the part of the stop's limit that is left for dropping what still runs.
+	stopReserve = 500 * timer.Millisecond
+	// entryIdle ends a caller's idle connection; callers use theirs for less than half of it.
+	entryIdle = 90 * timer.Second
+)
+
+// Entry is an instance that serves callers and holds no state of its own.
+type Entry struct {
+	common     observer.Common
+	settings   configurer.Settings
+	subscriber *subscriber.Subscriber
+	forwarder  *forwarder.Forwarder
+	callers    *listener
+	ready      *listener
+	metrics    *listener
+	stopping   atomic.Bool
+}
+
+// NewEntry builds an entry instance; the error names the setting or address at fault.
+func NewEntry(common observer.Common, settings configurer.Settings) (*Entry, error) {
+	e := &Entry{common: common, settings: settings}
+	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
+		Common: common, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(),
+		Rules: forwarder.Rules{
+			RetryShare: float64(settings.Retries.Share), RetrySlack: float64(settings.Retries.Slack),
+			RetryWindow: settings.Retries.Window, SessionSpan: settings.Session.Span,
+		},
+		Crashed: func(digest uint64) { e.subscriber.TellCrasher(digest) },
+	})
+	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
+		Common: common, Self: messenger.Greeting{Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre},
+		Seeds: linkAddresses(settings), Decode: platform.DecodeStored, Publish: e.forwarder.Publish, Outcomes: e.forwarder.Outcomes,
+	})
+	front := platform.Front{
+		Common: common, Limits: e.forwarder.Limits, Stopping: e.stopping.Load,
+		Serve: func(r *http.Request, req *forwarder.Request, w http.ResponseWriter) { e.forwarder.Serve(r.Context(), req, w) },
+	}
+	var err error
+	if e.callers, err = e.listen(settings.Listen.Callers, front); err != nil {
+		return nil, err
+	}
+	e.callers.server.IdleTimeout = entryIdle.Duration()
+	if e.ready, err = e.listen(settings.Listen.Ready, platform.Ready(e.notReady)); err != nil {
+		return nil, err
+	}
+	if settings.Listen.Metrics != "" {
+		e.metrics, err = e.listen(settings.Listen.Metrics, observer.MetricsHandler(common))
+	}
+	return e, err
+}
+
+func (e *Entry) listen(address decoder.Address, h http.Handler) (*listener, error) {
+	l, err := listenOn(address, e.settings)
+	if err != nil {
+		return nil, err
+	}
+	l.server.Handler = h
+	return l, nil
+}
+
+// linkAddresses returns where the control instances that the seeds name take links: all use the same port.
+func linkAddresses(s configurer.Settings) []string {
+	_, port, err := net.SplitHostPort(string(s.Listen.Links))
+	if err != nil {
+		return nil
+	}
+	var list []string
+	for _, seed := range s.Peers.Seeds {
+		host, _, err := net.SplitHostPort(string(seed))
+		if err == nil {
+			list = append(list, net.JoinHostPort(host, port))
+		}
+	}
+	return list
+}
+
+func (e *Entry) notReady() error {
+	if e.stopping.Load() {
+		return trace.ConnectionProblem(nil, "the instance is stopping")
+	}
+	if !e.forwarder.Ready() {
+		return trace.ConnectionProblem(nil, "no policy is known here yet")
+	}
+	return nil
+}
+
+// Start links to the control instances and serves callers.
+func (e *Entry) Start() error {
+	e.forwarder.Start()
+	e.subscriber.Start()
+	e.callers.start()
+	e.ready.start()
+	if e.metrics != nil {
+		e.metrics.start()
+	}
+	e.common.Log.Info("entry instance started", "instance", e.settings.Instance.Name, "data-centre", e.settings.Instance.DataCentre,
+		"seeds", linkAddresses(e.settings))
+	return nil
+}
+
+// Reload takes the seeds of changed settings; the addresses of a running process stay.
+func (e *Entry) Reload(s configurer.Settings) {
+	e.settings.Peers = s.Peers
+	e.subscriber.SetSeeds(linkAddresses(e.settings))
+}
+
+// Stop fails readiness, serves on until the balancer has noticed, lets requests finish and ends.
+func (e *Entry) Stop() error {
+	begun := e.common.Clock.Now()
+	e.stopping.Store(true)
+	e.common.Log.Info("entry instance stops", "running", e.forwarder.Running(), "limit", e.settings.Stop.Limit)
+	err := e.common.Clock.Sleep(context.Background(), e.settings.Stop.ReadinessWait)
+	left := e.settings.Stop.Limit - stopReserve - (e.common.Clock.Now() - begun)
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, left).Duration())
+	defer cancel()
+	err = trace.NewAggregate(err, e.callers.stop(ctx))
+	e.common.Log.Info("entry instance stopped", "cut-off", e.forwarder.Running(), "error", err)
+	return trace.NewAggregate(e.ready.kill(), e.subscriber.Stop(), e.forwarder.Stop())
+}
--- a/internal/launcher/lifecycle.go
+++ b/internal/launcher/lifecycle.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/changer"
+	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/parser"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -103,6 +104,11 @@
 	return i.common.Counter("links.bytes-out").Count()
 }
 
+// Reload notes that the settings changed; an instance with all roles takes them at its next start.
+func (i *Instance) Reload(configurer.Settings) {
+	i.common.Log.Warn("changed settings take effect at the next start", "instance", i.settings.Instance.Name)
+}
+
 // Stop fails readiness, waits for the balancer, lets requests finish and ends; a second call waits for the first.
 func (i *Instance) Stop() error {
 	if !i.stopBegun.CompareAndSwap(false, true) {
--- /dev/null
+++ b/internal/matcher/doc.go
@@ -0,0 +1,2 @@
+// Package matcher finds the route, the workspace and the service of a request in the policy in force.
+package matcher
--- /dev/null
+++ b/internal/messenger/packet.go
@@ -0,0 +1,53 @@
+package messenger
+
+import (
+	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// Greeting is the first message on a line.
+type Greeting struct {
+	Instance   string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
+	// Address is where the instance takes lines; empty on entry instances, which take none.
+	Address string `cbor:"3,keyasint,omitempty"`
+	// Member is the instance's identity in the record, empty without a disk.
+	Member   replicator.ID `cbor:"4,keyasint,omitempty"`
+	Stopping bool          `cbor:"5,keyasint,omitempty"`
+}
+
+// Outcomes counts what one entry instance saw of a version during a roll-out, since its start.
+type Outcomes struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint"`
+	Target  string `cbor:"3,keyasint"`
+	Good    int    `cbor:"4,keyasint"`
+	Bad     int    `cbor:"5,keyasint"`
+	Slow    int    `cbor:"6,keyasint"`
+	Running int    `cbor:"7,keyasint"`
+}
+
+// Packet is one message on a line between two instances; only the fields that have news are set.
+type Packet struct {
+	Greeting *Greeting           `cbor:"1,keyasint,omitempty"`
+	Raft     *replicator.Message `cbor:"2,keyasint,omitempty"`
+	Members  []registrar.Member  `cbor:"3,keyasint,omitempty"`
+	Policy   *applier.Policy     `cbor:"4,keyasint,omitempty"`
+	RollOuts []RollOut           `cbor:"5,keyasint,omitempty"`
+	// Control lists the addresses of control instances.
+	Control  []string   `cbor:"6,keyasint,omitempty"`
+	Outcomes []Outcomes `cbor:"7,keyasint,omitempty"`
+	// Crashers are digests of requests that crashed backend servers.
+	Crashers []uint64 `cbor:"8,keyasint,omitempty"`
+	// Offer is a policy version that the sender can send, and Want one that the sender asks for.
+	Offer int64 `cbor:"9,keyasint,omitempty"`
+	Want  int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// RollOut is a roll-out with its age, which does not depend on the receiver's time of day.
+type RollOut struct {
+	applier.RollOut
+	Elapsed timer.Millis `cbor:"20,keyasint"`
+}
--- /dev/null
+++ b/internal/observer/metrics.go
@@ -0,0 +1,15 @@
+package observer
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// MetricsHandler serves all counters and histograms as text.
+func MetricsHandler(c Common) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(c.Metrics, w)
+	})
+}
--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,8 @@
 	Common   observer.Common
 	Instance string
 	Disk     Disk
+	// Founders are the instances that make a new record together, this one among them; empty where none is to be made.
+	Founders []string
 	// Send hands a message to the link towards its receiver; it never waits.
 	Send func(replicator.Message)
 	// Changed is told on the record's thread that the state has changed.
@@ -49,6 +52,7 @@
 	state   *applier.State
 	waiting map[uint64]waiter
 	events  chan func()
+	reads   []confirmedRead
 	status  atomic.Pointer[Status]
 	// baseBytes is the size of the journal right after its last rewrite.
 	baseBytes int
@@ -79,11 +83,20 @@
 
 // NewRecord opens the member's journal.
 func NewRecord(deps Deps) (*Record, error) {
-	store, err := openStore(deps.Disk)
+	founds := len(deps.Founders) > 0
+	if founds && !slices.Contains(deps.Founders, deps.Instance) {
+		return nil, errFounders
+	}
+	store, err := openStore(deps.Disk, founds)
 	if err != nil {
 		return nil, err
 	}
 	r := &Record{deps: deps, store: store, state: applier.NewState(), waiting: map[uint64]waiter{}, events: make(chan func(), maxQueued)}
+	if founds && store.identity == founder && store.stored.Snapshot.Index == 0 {
+		if err := r.found(deps.Founders); err != nil {
+			return nil, err
+		}
+	}
 	r.startNode()
 	r.publish()
 	return r, nil
@@ -120,6 +133,11 @@
 	return trace.NewAggregate(r.tomb.Wait(), r.store.journal.Close())
 }
 
+// Dead is closed once the record's thread has ended.
+func (r *Record) Dead() <-chan struct{} {
+	return r.tomb.Dead()
+}
+
 // Status returns the newest status.
 func (r *Record) Status() Status {
 	return *r.status.Load()
@@ -232,6 +250,9 @@
 			r.drain()
 		case <-tick:
 			r.node.Tick(r.deps.Common.Clock.Now())
+			if len(r.reads) > 0 {
+				r.node.Confirm(r.deps.Common.Clock.Now())
+			}
 			tick = r.deps.Common.Clock.After(tickSpan)
 		case <-r.tomb.Dying():
 			return nil
@@ -271,6 +292,7 @@
 		}
 	}
 	r.publish()
+	r.settleReads()
 	return r.compact()
 }
 
--- a/internal/recorder/store.go
+++ b/internal/recorder/store.go
@@ -24,7 +24,7 @@
 }
 
 // openStore reads the journal; a new folder gets an identity of its own, which can never vote for what another forgot.
-func openStore(disk Disk) (*store, error) {
+func openStore(disk Disk, founds bool) (*store, error) {
 	s := &store{}
 	journal, err := OpenJournal(disk, s.replay)
 	if err != nil {
@@ -35,6 +35,9 @@
 		return s, nil
 	}
 	s.identity = uuid.NewString()
+	if founds {
+		s.identity = founder
+	}
 	return s, s.append([]line{{Identity: s.identity}})
 }
 
