Ask the smallest model first and the largest where it doubts

The middle size is passed over: it answers few requests that the smallest cannot. Conclusion: threshold 50.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -72,7 +72,7 @@
 
 // Session says how session tokens are signed.
 type Session struct {
-	SecretFile string `ini:"secret-file" doc:"File with the secret that signs session tokens, the same on every instance; a random one when empty."`
+	SecretFile string       `ini:"secret-file" doc:"File with the secret that signs session tokens, the same on every instance; a random one when empty."`
 	Span       timer.Millis `ini:"span" default:"5s" min:"100ms" doc:"How long a session keeps its version on an entry instance without a request."`
 }
 
@@ -100,6 +100,11 @@
 	Window timer.Millis  `ini:"window" default:"10s" min:"1s" doc:"Time in which the slack grows back."`
 }
 
+// Cascade says when an entry instance asks a larger model.
+type Cascade struct {
+	Confidence decoder.Share `ini:"confidence" default:"50%" doc:"Least confidence of a smaller model whose answer is taken."`
+}
+
 // Servers says when an announced backend server counts as gone.
 type Servers struct {
 	Silence timer.Millis `ini:"silence" default:"2500ms" min:"100ms" max:"1m" doc:"Silence after which a backend server receives no new work."`
@@ -131,6 +136,7 @@
 	Session  Session
 	Limits   Limits
 	Retries  Retries
+	Cascade  Cascade
 	Servers  Servers
 	Stop     Stop
 	Log      Log
@@ -156,6 +162,7 @@
 		{"session", "How sessions keep their version.", &s.Session},
 		{"limits", "What callers can make the instance hold.", &s.Limits},
 		{"retries", "What entry instances may send again.", &s.Retries},
+		{"cascade", "When entry instances ask a larger model.", &s.Cascade},
 		{"servers", "When a backend server counts as gone.", &s.Servers},
 		{"stop", "How a planned stop proceeds.", &s.Stop},
 		{"log", "What is logged.", &s.Log},
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -89,6 +89,7 @@
 	now = t.f.deps.Common.Clock.Now()
 	s.lastByte.Store(int64(now))
 	s.report(verdict, now)
+	t.confidence = verdict.Confidence
 	if verdict.Refused {
 		return x, outcomeNotRun
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,6 +25,8 @@
 	RetryWindow timer.Millis
 	// SessionSpan is how long a session keeps its version without a request, in milliseconds.
 	SessionSpan timer.Millis
+	// Confidence is the least confidence, from 0 to 100, with which a smaller model's answer is taken.
+	Confidence int
 }
 
 // Deps is what a forwarder needs.
@@ -132,6 +134,8 @@
 	// ran says that some backend server may have run the request.
 	ran   bool
 	model string
+	// confidence is the model's opinion of its answer from 0 to 100, -1 when it said nothing.
+	confidence int
 	// version binds a stream that has begun to the version that began it.
 	version string
 	last    *server
@@ -155,7 +159,7 @@
 
 // newTask finds the route and the workspace; the refusal says why there are none.
 func (f *Forwarder) newTask(req *Request, w http.ResponseWriter) (*task, *Refusal) {
-	t := &task{Request: req, f: f, pic: f.picture.Load(), tried: map[string]bool{}, writer: &writer{w: w}}
+	t := &task{Request: req, f: f, pic: f.picture.Load(), tried: map[string]bool{}, writer: &writer{w: w}, confidence: -1}
 	p := t.pic.Policy
 	if p == nil {
 		return t, &Refusal{Status: http.StatusServiceUnavailable, Reason: "no policy is known here yet", RetryAfter: shortReturn}
@@ -247,6 +251,9 @@
 	if t.model != "" {
 		args = append(args, "model", t.model)
 	}
+	if t.confidence >= 0 {
+		args = append(args, "confidence", t.confidence)
+	}
 	if t.writer.firstAt > 0 {
 		args = append(args, "first-ms", int64(t.writer.firstAt-t.ArrivedAt))
 	}
--- a/internal/forwarder/learn.go
+++ b/internal/forwarder/learn.go
@@ -116,11 +116,16 @@
 // outcomes counts answers by version for the roll-outs that run.
 type outcomes struct {
 	mu   sync.Mutex
-	rows map[[2]string]messenger.Outcomes
+	rows map[outcomeKey]messenger.Outcomes
+}
+
+// outcomeKey tells the counts of one version on one route from others.
+type outcomeKey struct {
+	service, version, route string
 }
 
 func newOutcomes() *outcomes {
-	return &outcomes{rows: map[[2]string]messenger.Outcomes{}}
+	return &outcomes{rows: map[outcomeKey]messenger.Outcomes{}}
 }
 
 // note counts an answer while a roll-out of its service runs.
@@ -131,10 +136,10 @@
 	}
 	f.outcomes.mu.Lock()
 	defer f.outcomes.mu.Unlock()
-	key := [2]string{s.Service, s.Version}
+	key := outcomeKey{s.Service, s.Version, t.route.Name}
 	o := f.outcomes.rows[key]
 	if o.Target != ro.Target {
-		o = messenger.Outcomes{Service: s.Service, Version: s.Version, Target: ro.Target}
+		o = messenger.Outcomes{Service: s.Service, Version: s.Version, Target: ro.Target, Route: t.route.Name}
 	}
 	switch r {
 	case resultGood:
@@ -151,8 +156,15 @@
 func (f *Forwarder) halted(service, target string) bool {
 	f.outcomes.mu.Lock()
 	defer f.outcomes.mu.Unlock()
-	o := f.outcomes.rows[[2]string{service, target}]
-	return o.Target == target && o.Bad+o.Slow >= haltBad && (o.Bad+o.Slow)*100 >= haltShare*(o.Good+o.Bad+o.Slow)
+	for key, o := range f.outcomes.rows {
+		if key.service != service || key.version != target || o.Target != target {
+			continue
+		}
+		if bad := o.Bad + o.Slow; bad >= haltBad && bad*100 >= haltShare*(o.Good+bad) {
+			return true
+		}
+	}
+	return false
 }
 
 const (
@@ -173,26 +185,22 @@
 		if v.running == nil {
 			continue
 		}
+		for key, o := range f.outcomes.rows {
+			if key.service == service && o.Target == v.running.Target {
+				list = append(list, o)
+			}
+		}
 		running := map[string]int{}
-		for _, s := range f.knownOf(p, service) {
+		for _, s := range p.servers[service] {
 			running[s.Version] += int(s.running.Load())
 		}
 		for version, n := range running {
-			o := f.outcomes.rows[[2]string{service, version}]
-			if o.Target != v.running.Target {
-				o = messenger.Outcomes{Service: service, Version: version, Target: v.running.Target}
-			}
-			o.Running = n
-			list = append(list, o)
+			list = append(list, messenger.Outcomes{Service: service, Version: version, Target: v.running.Target, Running: n})
 		}
 	}
 	return list
 }
 
-func (f *Forwarder) knownOf(p *picture, service string) []*server {
-	return p.servers[service]
-}
-
 const (
 	// slowFactor and slowMargin say how much later than usual a first byte must come to count as slow.
 	slowFactor = 4
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -145,6 +145,8 @@
 		b.WriteString(p.ID)
 		b.WriteByte(',')
 	}
+	// Caches hold parts for each model apart.
+	b.WriteString(t.model)
 	key := xxhash.Sum64String(b.String())
 	weights := make([]uint64, len(list))
 	for i, s := range list {
@@ -199,9 +201,6 @@
 func (t *task) chooseVersion(now timer.Millis, v versions) string {
 	old := v.stable[0].Version
 	target := v.running.Target
-	if t.f.halted(t.service, target) {
-		return old
-	}
 	progress := float64(now-v.running.Begun) / float64(max(1, v.running.Span))
 	key := t.Session
 	if key == "" {
@@ -210,6 +209,8 @@
 	drawn := float64(mix(xxhash.Sum64String(key))%1000) / 1000
 	p, pinned := t.f.sessions.get(t.Session, now)
 	switch {
+	case progress < haltUntil && t.f.halted(t.service, target):
+		return old
 	case pinned && p.version == target:
 		return target
 	case pinned && progress < sessionsMove:
@@ -224,6 +225,10 @@
 // instances learn of the start at different times.
 const sessionsMove = 0.53
 
+// haltUntil is the part of a roll-out after which an instance no longer holds the target back by itself: the leader has
+// judged by then.
+const haltUntil = 0.7
+
 // targetShare is the part of sessions that the new version gets as a roll-out goes on.
 func targetShare(progress float64) float64 {
 	switch {
@@ -237,11 +242,48 @@
 	return 1
 }
 
-// chooseModel returns the size that answers the request.
+// chooseModel returns the size that is asked first: the smallest, whose answer may turn out to be enough, where another
+// one can be asked after it.
 func (t *task) chooseModel() string {
 	models := t.route.Models
 	if len(models) == 0 {
 		return ""
 	}
-	return models[len(models)-1]
+	if !t.route.Repeatable() || t.route.MaxAttempts < 2 {
+		return models[len(models)-1]
+	}
+	return models[0]
+}
+
+// escalate moves the request to the largest size where the model that answers doubts its answer; it reports whether the
+// answer at hand is to be dropped.
+func (t *task) escalate(x *exchange) bool {
+	models := t.route.Models
+	if t.model == "" || t.writer.status != 0 || t.LastEvent != "" || t.model == models[len(models)-1] {
+		return false
+	}
+	c := x.verdict.Confidence
+	if c < 0 || c >= t.f.deps.Rules.Confidence || t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
+		return false
+	}
+	small := t.model
+	t.model = models[len(models)-1]
+	if best := t.cheapestNow(); best == nil {
+		t.model = small
+		return false
+	}
+	return true
+}
+
+// cheapestNow returns a server that has room for the request as it is now, nil when there is none.
+func (t *task) cheapestNow() *server {
+	now := t.f.deps.Common.Clock.Now()
+	list := t.candidates(now)
+	tried := t.tried
+	t.tried = map[string]bool{}
+	best := t.cheapest(list, make([]float64, len(list)), now, false)
+	if best == nil {
+		t.tried = tried
+	}
+	return best
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -73,6 +73,12 @@
 		return !t.mayRepeat(), t.lost("the stream could not go on elsewhere")
 	}
 	t.ran = true
+	if t.escalate(x) {
+		x.end(false)
+		x.server.succeeded()
+		t.f.noteFirst(t, x.server, t.f.deps.Common.Clock.Now()-x.sentAt)
+		return false, nil
+	}
 	err := t.pump(x)
 	now := t.f.deps.Common.Clock.Now()
 	if err == nil {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -37,6 +37,8 @@
 }
 
 const (
+	// percent turns a share into the scale of confidences.
+	percent = 100
 	// stopReserve is the part of the stop's limit that is left for dropping what still runs.
 	stopReserve = 500 * timer.Millisecond
 	// entryIdle ends a caller's idle connection; callers use theirs for less than half of it.
@@ -63,16 +65,21 @@
 		Rules: forwarder.Rules{
 			RetryShare: float64(settings.Retries.Share), RetrySlack: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionSpan: settings.Session.Span,
+			Confidence: int(float64(settings.Cascade.Confidence) * percent),
 		},
 		Crashed: func(digest uint64) { e.subscriber.TellCrasher(digest) },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
-		Common: common, Self: messenger.Greeting{Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre},
+		Common: common, Self: messenger.Greeting{
+			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Incarnation: int64(common.Clock.Now()),
+		},
 		Seeds: linkAddresses(settings), Decode: platform.DecodeStored, Publish: e.forwarder.Publish, Outcomes: e.forwarder.Outcomes,
 	})
 	front := platform.Front{
 		Common: common, Limits: e.forwarder.Limits, Stopping: e.stopping.Load,
-		Serve: func(r *http.Request, req *forwarder.Request, w http.ResponseWriter) { e.forwarder.Serve(r.Context(), req, w) },
+		Serve: func(r *http.Request, req *forwarder.Request, w http.ResponseWriter) {
+			e.forwarder.Serve(r.Context(), req, w)
+		},
 	}
 	var err error
 	if e.callers, err = e.listen(settings.Listen.Callers, front); err != nil {
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -16,9 +16,12 @@
 	// Member is the instance's identity in the record, empty without a disk.
 	Member   replicator.ID `cbor:"4,keyasint,omitempty"`
 	Stopping bool          `cbor:"5,keyasint,omitempty"`
+	// Incarnation tells the starts of an instance apart.
+	Incarnation int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Outcomes counts what one entry instance saw of a version during a roll-out, since its start.
+// Outcomes counts what one entry instance saw of a version on one route during a roll-out, since its start; a row
+// without a route tells how many requests run.
 type Outcomes struct {
 	Service string `cbor:"1,keyasint"`
 	Version string `cbor:"2,keyasint"`
@@ -27,6 +30,7 @@
 	Bad     int    `cbor:"5,keyasint"`
 	Slow    int    `cbor:"6,keyasint"`
 	Running int    `cbor:"7,keyasint"`
+	Route   string `cbor:"8,keyasint,omitempty"`
 }
 
 // Packet is one message on a line between two instances; only the fields that have news are set.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/gravitational/trace"
@@ -203,7 +205,7 @@
 		s.sendToEntries(messenger.Packet{Members: changed})
 	}
 	if p.Outcomes != nil {
-		s.outcomes[from.Instance] = p.Outcomes
+		s.outcomes[incarnationOf(from)] = p.Outcomes
 	}
 	if p.Want > 0 && s.policy.Version > 0 {
 		policy := s.policy
@@ -264,9 +266,7 @@
 	delete(s.lines, l)
 	s.deps.Common.Log.Info("instance lost", "instance", peer.Instance, "data-centre", peer.DataCentre)
 	if peer.Address == "" {
-		if !s.connected(peer.Instance) {
-			delete(s.outcomes, peer.Instance)
-		}
+		s.endRunning(peer)
 		return
 	}
 	s.mu.Lock()
@@ -282,13 +282,18 @@
 	}
 }
 
-func (s *Steward) connected(instance string) bool {
-	for _, g := range s.lines {
-		if g.Instance == instance {
-			return true
-		}
+// incarnationOf names one start of an instance.
+func incarnationOf(g messenger.Greeting) string {
+	return fmt.Sprintf("%s#%d", g.Instance, g.Incarnation)
+}
+
+// endRunning keeps what an instance saw but for what ran there: it may never come back.
+func (s *Steward) endRunning(g messenger.Greeting) {
+	list := slices.Clone(s.outcomes[incarnationOf(g)])
+	for i := range list {
+		list[i].Running = 0
 	}
-	return false
+	s.outcomes[incarnationOf(g)] = list
 }
 
 func (s *Steward) sendToEntries(p messenger.Packet) {
