Control instances answer for the leader; waiting requests see servers that leave

Ruled out: slow commits (20 ms in the log). Now an attempt is placed by the newest view, a control instance asks the leader itself, and a policy that it has applied already is acknowledged at once.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -36,8 +35,6 @@
 	sentAt  timer.Millis
 	cancel  func() bool
 	err     error
-	// broke says that the server broke the connection, as one that crashes does.
-	broke bool
 }
 
 // end returns the connection for reuse when its answer was read to its end, and drops it otherwise.
@@ -97,9 +94,7 @@
 }
 
 func (t *task) failed(x *exchange, err error) (*exchange, outcome) {
-	var timeout interface{ Timeout() bool }
 	x.err = err
-	x.broke = !(errors.As(err, &timeout) && timeout.Timeout()) && !errors.Is(err, errForeign)
 	x.end(false)
 	return x, outcomeUnknown
 }
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -36,6 +36,8 @@
 	if t.crashes() {
 		return nil, t.lost("this request has crashed backend servers")
 	}
+	// The servers may have changed since the last attempt; the route stays that of the request's arrival.
+	t.pic = t.f.picture.Load()
 	patience := t.ArrivedAt + max(t.route.Target*roomShare/100, roomEvery)
 	for {
 		now := t.f.deps.Common.Clock.Now()
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -107,9 +107,7 @@
 		if ctx.Err() == nil {
 			x.server.failed(now, true)
 			t.f.note(t, x.server, resultBad)
-			if x.broke {
-				t.strike(ctx, x.server)
-			}
+			t.strike(ctx, x.server)
 		}
 	}
 	if ctx.Err() != nil {
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 
@@ -68,14 +67,11 @@
 }
 
 func (c *Control) listen() error {
-	_, port, err := net.SplitHostPort(string(c.settings.Listen.Control))
-	if err != nil {
-		return trace.Wrap(err)
-	}
+	var err error
 	if c.control, err = listenOn(c.settings.Listen.Control, c.settings); err != nil {
 		return err
 	}
-	c.control.server.Handler = platform.NewControl(c.common, c.steward, port)
+	c.control.server.Handler = platform.NewControl(c.common, c.steward)
 	if c.links, err = listenOn(c.settings.Listen.Links, c.settings); err != nil {
 		return err
 	}
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -48,6 +48,26 @@
 	// Offer is a policy version that the sender can send, and Want one that the sender asks for.
 	Offer int64 `cbor:"9,keyasint,omitempty"`
 	Want  int64 `cbor:"10,keyasint,omitempty"`
+	// Call asks the leader, and Reply answers.
+	Call  *Call  `cbor:"11,keyasint,omitempty"`
+	Reply *Reply `cbor:"12,keyasint,omitempty"`
+}
+
+// Call is a question to the leader of the record; exactly one field besides the id is set.
+type Call struct {
+	ID          uint64           `cbor:"1,keyasint"`
+	Command     *applier.Command `cbor:"2,keyasint,omitempty"`
+	ReadPolicy  bool             `cbor:"3,keyasint,omitempty"`
+	ReadRollOut string           `cbor:"4,keyasint,omitempty"`
+}
+
+// Reply answers a call.
+type Reply struct {
+	ID      uint64           `cbor:"1,keyasint"`
+	Error   string           `cbor:"2,keyasint,omitempty"`
+	Result  applier.Result   `cbor:"3,keyasint"`
+	Policy  *applier.Policy  `cbor:"4,keyasint,omitempty"`
+	RollOut *applier.RollOut `cbor:"5,keyasint,omitempty"`
 }
 
 // RollOut is a roll-out with its age, which does not depend on the receiver's time of day.
--- a/internal/steward/changes.go
+++ b/internal/steward/changes.go
@@ -2,79 +2,45 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
-	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
-	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
-	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// LeaderError says that another control instance must be asked; the address is its link address, empty when unknown.
-type LeaderError struct {
-	Address string
-}
-
-// Error prints the leader's address.
-func (e *LeaderError) Error() string {
-	return fmt.Sprintf("this instance does not lead the record; the leader is %q", e.Address)
-}
-
-// commitSpan bounds the wait for a majority; operators try elsewhere after about a second.
-const commitSpan = 3 * timer.Second
-
-// Publish makes a policy durable; it returns the version in force.
+// Publish makes a policy durable; it returns the version in force. A policy that was overtaken, or is sent again, is
+// acknowledged by any instance that knows so: what it has applied a majority holds.
 func (s *Steward) Publish(ctx context.Context, p applier.Policy) (int64, error) {
-	result, err := s.propose(ctx, applier.Command{Publish: &p})
-	return result.Version, err
+	known, err := s.Known(ctx)
+	if err == nil && known.Version >= p.Version && len(known.Text) > 0 {
+		return known.Version, nil
+	}
+	reply, err := s.ask(ctx, messenger.Call{Command: &applier.Command{Publish: &p, At: s.deps.Common.Clock.Now()}})
+	return reply.Result.Version, err
 }
 
 // StartRollOut orders a roll-out; the same order again changes nothing.
 func (s *Steward) StartRollOut(ctx context.Context, r applier.RollOut) error {
-	_, err := s.propose(ctx, applier.Command{RollOut: &r})
+	_, err := s.ask(ctx, messenger.Call{Command: &applier.Command{RollOut: &r, At: s.deps.Common.Clock.Now()}})
 	return err
 }
 
-func (s *Steward) propose(ctx context.Context, c applier.Command) (applier.Result, error) {
-	if err := s.mustLead(); err != nil {
-		return applier.Result{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, commitSpan.Duration())
-	defer cancel()
-	c.At = s.deps.Common.Clock.Now()
-	return s.deps.Record.Propose(ctx, c)
-}
-
-func (s *Steward) mustLead() error {
-	status := s.deps.Record.Status()
-	if status.Role == replicator.RoleLeader {
-		return nil
-	}
-	return &LeaderError{Address: recorder.InstanceOf(status.Leader)}
-}
-
 // Policy returns the newest policy, confirmed by a majority.
 func (s *Steward) Policy(ctx context.Context) (applier.Policy, error) {
-	var p applier.Policy
-	err := s.confirmed(ctx, func(state *applier.State) { p = state.Policy() })
-	return p, err
+	reply, err := s.ask(ctx, messenger.Call{ReadPolicy: true})
+	if err != nil || reply.Policy == nil {
+		return applier.Policy{}, err
+	}
+	return *reply.Policy, nil
 }
 
 // RollOut returns the newest roll-out of a service, confirmed by a majority; ok tells whether there is one.
 func (s *Steward) RollOut(ctx context.Context, service string) (r applier.RollOut, ok bool, err error) {
-	err = s.confirmed(ctx, func(state *applier.State) { r, ok = state.RollOut(service) })
-	return r, ok, err
-}
-
-func (s *Steward) confirmed(ctx context.Context, f func(*applier.State)) error {
-	if err := s.mustLead(); err != nil {
-		return err
+	reply, err := s.ask(ctx, messenger.Call{ReadRollOut: service})
+	if err != nil || reply.RollOut == nil {
+		return applier.RollOut{}, false, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitSpan.Duration())
-	defer cancel()
-	return s.deps.Record.ReadConfirmed(ctx, f)
+	return *reply.RollOut, true, nil
 }
 
 // Known returns the newest policy that this instance has seen, which others may have overtaken.
--- a/internal/steward/guard.go
+++ b/internal/steward/guard.go
@@ -115,7 +115,7 @@
 
 // runSettle commits the end of a roll-out; the next look tries again where it fails.
 func (s *Steward) runSettle(end applier.Settle) error {
-	if _, err := s.propose(s.tomb.Context(context.Background()), applier.Command{Settle: &end}); err != nil {
+	if _, err := s.ask(s.tomb.Context(context.Background()), messenger.Call{Command: &applier.Command{Settle: &end, At: s.deps.Common.Clock.Now()}}); err != nil {
 		s.deps.Common.Log.Warn("roll-out not settled yet", "service", end.Service, "target", end.Target, "state", end.State, "error", err)
 		return nil
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -57,6 +57,9 @@
 	mu sync.RWMutex
 	// byAddress gives a line to each connected control instance, for messages of the record.
 	byAddress map[string]*messenger.Line
+	// calls are the questions to the leader that wait for a reply.
+	calls    map[uint64]chan messenger.Reply
+	lastCall uint64
 
 	lines    map[*messenger.Line]messenger.Greeting
 	seeds    []string
@@ -79,7 +82,7 @@
 // NewSteward returns a steward that is not started.
 func NewSteward(deps Deps) *Steward {
 	s := &Steward{
-		deps: deps, events: make(chan func(), maxEvents), byAddress: map[string]*messenger.Line{},
+		deps: deps, events: make(chan func(), maxEvents), byAddress: map[string]*messenger.Line{}, calls: map[uint64]chan messenger.Reply{},
 		lines: map[*messenger.Line]messenger.Greeting{}, seeds: deps.Seeds, known: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), heard: map[string]timer.Millis{}, idleAt: map[string]timer.Millis{},
 		begun: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{}, seenAt: map[replicator.ID]timer.Millis{}, identities: map[string]replicator.ID{},
@@ -186,9 +189,16 @@
 
 // take runs on a line's goroutine.
 func (s *Steward) take(l *messenger.Line, p messenger.Packet) {
-	if p.Raft != nil {
+	switch {
+	case p.Raft != nil:
 		s.deps.Record.Step(*p.Raft)
 		return
+	case p.Reply != nil:
+		s.takeReply(*p.Reply)
+		return
+	case p.Call != nil:
+		s.tomb.Go(func() error { return s.runCall(l, *p.Call) })
+		return
 	}
 	s.post(func() { s.takePacket(l, p) })
 }
