Balance by the prompt work that waits at each server; hold requests until the first policy is known

Cause: servers were ranked by how many requests they run, but one long prompt on the largest model blocks a server for 0.6 s, and each instance saw only its own. After the closing power loss 483 requests were refused for want of a policy: restarted voters waited out a lease that control instances do not use.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -33,16 +33,28 @@
 	res     *http.Response
 	verdict Verdict
 	sentAt  timer.Millis
+	// urgency and work are what the request's prompt adds to the server's work until its first event.
+	urgency int
+	work    float64
 	cancel  func() bool
 	err     error
 }
 
+// read takes the prompt off the server's work once it is read, or the attempt has ended.
+func (x *exchange) read() {
+	if x.work > 0 {
+		x.server.work.add(x.urgency, -x.work)
+		x.work = 0
+	}
+}
+
 // end returns the connection for reuse when its answer was read to its end, and drops it otherwise.
 func (x *exchange) end(whole bool) {
 	if x.conn == nil {
 		return
 	}
 	live := x.cancel()
+	x.read()
 	x.server.running.Add(-1)
 	if whole && live && !x.res.Close && x.conn.SetDeadline(time.Time{}) == nil {
 		if x.verdict.IdleSpan > 0 {
@@ -70,6 +82,9 @@
 	}
 	x.conn = c
 	s.running.Add(1)
+	x.urgency, x.work = urgencyOf(t.route, t.workspace), t.promptWork(s)
+	s.work.add(x.urgency, x.work)
+	t.f.prefixes.note(t.prefixKey(), s.Name, now)
 	x.cancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	header := t.f.deps.Codec.Prepare(t.Request, t.attempt(s))
 	x.sentAt = t.f.deps.Common.Clock.Now()
@@ -85,6 +100,10 @@
 	x.res, x.verdict = res, verdict
 	now = t.f.deps.Common.Clock.Now()
 	s.lastByte.Store(int64(now))
+	x.read()
+	if t.TokensIn > 0 {
+		t.f.paces.learn(t.model, t.TokensIn, now-x.sentAt)
+	}
 	s.report(verdict, now)
 	t.confidence = verdict.Confidence
 	if verdict.Refused {
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -45,9 +45,12 @@
 		slices.SortFunc(list, func(a, b *server) int { return int(a.Incarnation - b.Incarnation) })
 	}
 	f.picture.Store(p)
-	if old.Policy == nil || p.Policy != old.Policy {
+	if p.Policy != old.Policy {
 		f.resetTables()
 	}
+	if old.Policy == nil && p.Policy != nil {
+		close(f.arrived)
+	}
 }
 
 // serverOf keeps what was learned of an incarnation.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,6 +49,10 @@
 	outcomes *outcomes
 	firsts   sync.Map
 	strikes  *strikes
+	paces    *paces
+	// arrived is closed once the first policy is known.
+	arrived  chan struct{}
+	prefixes *prefixes
 	running  atomic.Int64
 	latency  metrics.Histogram
 	tomb     tomb.Tomb
@@ -59,6 +63,7 @@
 	f := &Forwarder{
 		deps: deps, known: map[string]*server{}, budget: newBudget(deps.Rules, deps.Common.Clock.Now),
 		sessions: newSessions(deps.Rules.SessionSpan), outcomes: newOutcomes(), strikes: newStrikes(),
+		paces: newPaces(), arrived: make(chan struct{}), prefixes: newPrefixes(),
 		latency: deps.Common.Histogram("requests.first-byte-ms"),
 	}
 	f.picture.Store(&picture{})
@@ -146,6 +151,7 @@
 func (f *Forwarder) Serve(ctx context.Context, req *Request, w http.ResponseWriter) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
+	f.awaitPolicy(ctx)
 	t, refusal := f.newTask(req, w)
 	if refusal == nil {
 		var cancel context.CancelFunc
@@ -157,6 +163,26 @@
 	f.finish(ctx, t, refusal)
 }
 
+const (
+	// policySpan is how long a request waits for the first policy of an instance that has just started: an election and a
+	// line take about a second.
+	policySpan = 2 * timer.Second
+	// maxAwaiting bounds the requests that wait for the first policy.
+	maxAwaiting = 400
+)
+
+// awaitPolicy holds the requests that arrive before the first policy is known.
+func (f *Forwarder) awaitPolicy(ctx context.Context) {
+	if f.picture.Load().Policy != nil || f.running.Load() > maxAwaiting {
+		return
+	}
+	select {
+	case <-f.arrived:
+	case <-f.deps.Common.Clock.After(policySpan):
+	case <-ctx.Done():
+	}
+}
+
 // newTask finds the route and the workspace; the refusal says why there are none.
 func (f *Forwarder) newTask(req *Request, w http.ResponseWriter) (*task, *Refusal) {
 	t := &task{Request: req, f: f, pic: f.picture.Load(), tried: map[string]bool{}, writer: &writer{w: w}, confidence: -1}
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -14,14 +14,16 @@
 const streamKind = matcher.KindStream
 
 const (
-	// farCost is what a server of another data centre costs, as a share of its slots: traffic between them is paid for.
-	farCost = 0.6
-	// secondCost and otherCost are what it costs, as a share of slots, to leave the server that most likely holds the
-	// shared part of a prompt, for the next one in line or for any other.
-	secondCost = 0.12
-	otherCost  = 0.3
-	// sessionGain is what the server of the session's last request is preferred by.
-	sessionGain = 0.15
+	// loadCost is what a full server costs against an empty one, in milliseconds: more requests make each token slower.
+	loadCost = 250.0
+	// farCost is what a server of another data centre costs, in milliseconds: traffic between them is paid for.
+	farCost = 400.0
+	// slowCost is what a server that answers far later than usual costs, in milliseconds.
+	slowCost = 200.0
+	// coldCost is what it costs, in milliseconds for each shared token, to leave the server that should hold the shared
+	// parts of a prompt for the next in line; servers after coldPlaces are all alike.
+	coldCost   = 0.02
+	coldPlaces = 2.0
 	// engineQueue and plainQueue are how many requests may wait at a server, as a share of its slots.
 	engineQueue = 0.5
 	plainQueue  = 2.0
@@ -80,11 +82,10 @@
 	if len(list) == 0 {
 		return nil, "no backend server of the service is known"
 	}
-	order := t.rank(list)
-	best := t.cheapest(list, order, now, false)
+	best := t.cheapest(list, now, false)
 	if best == nil {
 		// Where all are set aside, one of them is still better than none.
-		best = t.cheapest(list, order, now, true)
+		best = t.cheapest(list, now, true)
 	}
 	if best == nil {
 		return nil, "no backend server has room"
@@ -93,10 +94,10 @@
 }
 
 // cheapest returns the server with the lowest cost among those that have room, nil when none has.
-func (t *task) cheapest(list []*server, order []float64, now timer.Millis, desperate bool) *server {
-	p, pinned := t.f.sessions.get(t.Session, now)
+func (t *task) cheapest(list []*server, now timer.Millis, desperate bool) *server {
 	var best *server
 	lowest := 0.0
+	places := t.order(list)
 	for i, s := range list {
 		suspended, slowness := s.state(now)
 		if suspended != desperate || t.tried[s.Name] {
@@ -107,16 +108,11 @@
 		if load >= t.limit(slots) {
 			continue
 		}
-		cost := float64(load)/float64(slots) + order[i]
-		if slowness > slowServer {
-			cost += slowness / 4
-		}
-		if s.DataCentre != t.f.deps.DataCentre {
-			cost += farCost
-		}
-		if pinned && p.server == s.Name {
-			cost -= sessionGain
+		place := -1
+		if places != nil {
+			place = places[i]
 		}
+		cost := t.cost(s, load, slots, slowness, place, now)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
@@ -124,6 +120,22 @@
 	return best
 }
 
+// cost estimates when the server would answer, in milliseconds, and adds what traffic and cold caches are worth.
+func (t *task) cost(s *server, load, slots int, slowness float64, place int, now timer.Millis) float64 {
+	work := s.work.before(urgencyOf(t.route, t.workspace), now) + t.promptWork(s)
+	cost := work + float64(load)/float64(slots)*loadCost
+	if slowness > slowServer {
+		cost = cost*slowness + slowCost
+	}
+	if s.DataCentre != t.f.deps.DataCentre {
+		cost += farCost
+	}
+	if place > 0 {
+		cost += min(float64(place), coldPlaces) * coldCost * float64(t.sharedTokens())
+	}
+	return cost
+}
+
 // slowServer is how many times the usual time to the first byte makes a server one to avoid.
 const slowServer = 2.5
 
@@ -135,40 +147,58 @@
 	return slots + int(plainQueue*float64(slots))
 }
 
-// rank returns what each server costs for not holding the shared parts of the prompt, by rendezvous hashing within
-// each data centre.
-func (t *task) rank(list []*server) []float64 {
-	costs := make([]float64, len(list))
+// prefixKey tells the shared parts of a prompt from others; caches hold them for each model apart.
+func (t *task) prefixKey() uint64 {
 	if !t.route.Sticky || len(t.Parts) < 2 {
-		return costs
+		return 0
 	}
 	var b strings.Builder
 	for _, p := range t.Parts[:len(t.Parts)-1] {
 		b.WriteString(p.ID)
 		b.WriteByte(',')
 	}
-	// Caches hold parts for each model apart.
 	b.WriteString(t.model)
-	key := xxhash.Sum64String(b.String())
+	return xxhash.Sum64String(b.String())
+}
+
+// sharedTokens returns the tokens of the prompt's shared parts.
+func (t *task) sharedTokens() int {
+	sum := 0
+	for _, p := range t.Parts[:max(0, len(t.Parts)-1)] {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// promptWork estimates how long the server reads the prompt, in milliseconds.
+func (t *task) promptWork(s *server) float64 {
+	tokens := t.TokensIn
+	if key := t.prefixKey(); key != 0 && t.f.prefixes.holds(key, s.Name, t.f.deps.Common.Clock.Now()) {
+		tokens -= t.sharedTokens()
+	}
+	return float64(max(0, tokens)) * t.f.paces.get(t.model)
+}
+
+// order returns the place of each server in the line of those that should hold the shared parts of the prompt, by
+// rendezvous hashing within each data centre; nil where there are none.
+func (t *task) order(list []*server) []int {
+	key := t.prefixKey()
+	if key == 0 {
+		return nil
+	}
 	weights := make([]uint64, len(list))
 	for i, s := range list {
 		weights[i] = mix(key ^ s.hash)
 	}
+	places := make([]int, len(list))
 	for i, s := range list {
-		ahead := 0
 		for j, other := range list {
 			if other.DataCentre == s.DataCentre && weights[j] > weights[i] {
-				ahead++
+				places[i]++
 			}
 		}
-		switch {
-		case ahead == 1:
-			costs[i] = secondCost
-		case ahead > 1:
-			costs[i] = otherCost
-		}
 	}
-	return costs
+	return places
 }
 
 // mix spreads the bits of a hash.
@@ -283,7 +313,7 @@
 	list := t.candidates(now)
 	tried := t.tried
 	t.tried = map[string]bool{}
-	best := t.cheapest(list, make([]float64, len(list)), now, false)
+	best := t.cheapest(list, now, false)
 	if best == nil {
 		t.tried = tried
 	}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -39,6 +39,7 @@
 	pool *pool
 
 	running atomic.Int64
+	work    work
 	// lastByte is when anything was last read from it, in milliseconds.
 	lastByte atomic.Int64
 
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -46,7 +46,7 @@
 		founders = slices.Sorted(slices.Values(seeds))
 	}
 	c.record, err = recorder.NewRecord(recorder.Deps{
-		Common: common, Instance: self, Disk: disk, Founders: founders,
+		Common: common, Instance: self, Disk: disk, Founders: founders, Leaseless: true,
 		Send:    func(m replicator.Message) { c.steward.SendRaft(m) },
 		Changed: func(s *applier.State) { c.steward.Changed(s) },
 	})
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -74,6 +74,7 @@
 			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Incarnation: int64(common.Clock.Now()),
 		},
 		Seeds: linkAddresses(settings), Decode: platform.DecodeStored, Publish: e.forwarder.Publish, Outcomes: e.forwarder.Outcomes,
+		Work: e.forwarder.Work, HearWork: e.forwarder.HearWork,
 	})
 	front := platform.Front{
 		Common: common, Limits: e.forwarder.Limits, Stopping: e.stopping.Load,
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -48,6 +48,11 @@
 	// Offer is a policy version that the sender can send, and Want one that the sender asks for.
 	Offer int64 `cbor:"9,keyasint,omitempty"`
 	Want  int64 `cbor:"10,keyasint,omitempty"`
+	// Work is what an entry instance has sent to servers, and OthersWork what the others of its data centre have, where
+	// TellsWork is set.
+	Work       []Work `cbor:"13,keyasint,omitempty"`
+	OthersWork []Work `cbor:"14,keyasint,omitempty"`
+	TellsWork  bool   `cbor:"15,keyasint,omitempty"`
 	// Call asks the leader, and Reply answers.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
@@ -75,3 +80,37 @@
 	applier.RollOut
 	Elapsed timer.Millis `cbor:"20,keyasint"`
 }
+
+// Work is the prompt reading that an instance, or several, have sent to a server and that waits there.
+type Work struct {
+	Server string `cbor:"1,keyasint"`
+	// Waiting is the work for each urgency in workUnit milliseconds, without trailing zeros.
+	Waiting []uint16 `cbor:"2,keyasint"`
+}
+
+// workUnit is the resolution of told work, in milliseconds: prompts take tens to hundreds.
+const workUnit = 4
+
+// NewWork returns the told form of the work at a server.
+func NewWork(server string, ms []float64) Work {
+	w := Work{Server: server}
+	last := 0
+	for u, v := range ms {
+		units := uint16(min(max(0, v)/workUnit, 1<<15))
+		w.Waiting = append(w.Waiting, units)
+		if units > 0 {
+			last = u + 1
+		}
+	}
+	w.Waiting = w.Waiting[:last]
+	return w
+}
+
+// Millis returns the work for each urgency in milliseconds.
+func (w Work) Millis() []float64 {
+	list := make([]float64, len(w.Waiting))
+	for u, units := range w.Waiting {
+		list[u] = float64(units) * workUnit
+	}
+	return list
+}
--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -38,6 +38,8 @@
 	Disk     Disk
 	// Founders are the instances that make a new record together, this one among them; empty where none is to be made.
 	Founders []string
+	// Leaseless says that reads are confirmed by a majority, so that nobody relies on a leader's lease.
+	Leaseless bool
 	// Send hands a message to the link towards its receiver; it never waits.
 	Send func(replicator.Message)
 	// Changed is told on the record's thread that the state has changed.
@@ -103,7 +105,7 @@
 }
 
 func (r *Record) startNode() {
-	cfg := replicator.Config{ID: r.ID(), Election: electionSpan, Heartbeat: heartbeatSpan, Random: rand.IntN}
+	cfg := replicator.Config{ID: r.ID(), Election: electionSpan, Heartbeat: heartbeatSpan, Random: rand.IntN, Leaseless: r.deps.Leaseless}
 	r.node = replicator.NewNode(cfg, r.store.stored, r.deps.Common.Clock.Now())
 }
 
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -77,6 +77,10 @@
 	}
 	n.adoptMembers()
 	n.drawPatience()
+	if cfg.Leaseless {
+		n.heardAt = now - cfg.Election
+		n.patience = cfg.Election + firstPatience(cfg)
+	}
 	return n
 }
 
@@ -272,6 +276,12 @@
 	n.patience = n.cfg.Election + timer.Millis(n.cfg.Random(int(n.cfg.Election)))
 }
 
+// firstPatience is how long a member that has just started waits for a leader: it asks before it disturbs the term, so
+// that a live leader stays.
+func firstPatience(cfg Config) timer.Millis {
+	return cfg.Heartbeat + timer.Millis(cfg.Random(int(cfg.Election)/2))
+}
+
 // decodeMembers reads a membership entry, which only this package writes.
 func decodeMembers(data []byte) Members {
 	var m Members
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -131,6 +131,8 @@
 	Election timer.Millis
 	// Heartbeat is the time between messages of a leader that has nothing to say, in milliseconds.
 	Heartbeat timer.Millis
+	// Leaseless says that nobody relies on a leader's lease, so that a member that has just started need not wait it out.
+	Leaseless bool
 	// Random returns a number from 0 to n-1.
 	Random func(n int) int
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -76,7 +76,10 @@
 	// identities gives the identity that last greeted from each address.
 	identities map[string]replicator.ID
 	crashers   map[uint64]bool
-	stopping   bool
+	// work is what each entry instance told last, and toldWork which of them were told of others' work last.
+	work     map[*messenger.Line][]messenger.Work
+	toldWork map[*messenger.Line]bool
+	stopping bool
 }
 
 // NewSteward returns a steward that is not started.
@@ -86,7 +89,7 @@
 		lines: map[*messenger.Line]messenger.Greeting{}, seeds: deps.Seeds, known: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), heard: map[string]timer.Millis{}, idleAt: map[string]timer.Millis{},
 		begun: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{}, seenAt: map[replicator.ID]timer.Millis{}, identities: map[string]replicator.ID{},
-		crashers: map[uint64]bool{},
+		crashers: map[uint64]bool{}, work: map[*messenger.Line][]messenger.Work{}, toldWork: map[*messenger.Line]bool{},
 	}
 	s.dialer = messenger.NewDialer(s.Ends())
 	return s
@@ -157,10 +160,14 @@
 func (s *Steward) loop() error {
 	s.keepLines()
 	tick := s.deps.Common.Clock.After(dutiesEvery)
+	work := s.deps.Common.Clock.After(workEvery)
 	for {
 		select {
 		case f := <-s.events:
 			f()
+		case <-work:
+			s.tellWork()
+			work = s.deps.Common.Clock.After(workEvery)
 		case <-tick:
 			s.expire()
 			s.keepLines()
@@ -217,6 +224,9 @@
 	if p.Outcomes != nil {
 		s.outcomes[incarnationOf(from)] = p.Outcomes
 	}
+	if p.TellsWork {
+		s.work[l] = p.Work
+	}
 	if p.Want > 0 && s.policy.Version > 0 {
 		policy := s.policy
 		l.Send(messenger.Packet{Policy: &policy})
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -21,6 +21,8 @@
 	wantAfter = 250 * timer.Millisecond
 	// reportEvery is the time between reports on a running roll-out; its limits are seconds.
 	reportEvery = 300 * timer.Millisecond
+	// workEvery is the time between reports on the work that waits at servers.
+	workEvery = 150 * timer.Millisecond
 	// maxEvents bounds the events that wait for the control thread.
 	maxEvents = 1024
 )
@@ -49,6 +51,9 @@
 	Decode func(applier.Policy) (*matcher.Policy, error)
 	// Publish is told of each new view, on the control thread.
 	Publish func(View)
+	// Work returns what this instance has sent to servers and waits there, and HearWork takes in what others have.
+	Work     func() []messenger.Work
+	HearWork func([]messenger.Work)
 	// Outcomes returns what this instance saw of running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -66,6 +71,8 @@
 	roster  *registrar.Roster
 	view    View
 	dirty   bool
+	// toldWork says that the last report on work was not empty.
+	toldWork bool
 }
 
 // NewSubscriber returns a subscriber that is not started.
@@ -123,12 +130,16 @@
 func (s *Subscriber) loop() error {
 	ctx := s.tomb.Context(context.Background())
 	report := s.deps.Common.Clock.After(reportEvery)
+	work := s.deps.Common.Clock.After(workEvery)
 	for {
 		select {
 		case f := <-s.events:
 			f()
 			s.drain()
 			s.publish()
+		case <-work:
+			s.tellWork()
+			work = s.deps.Common.Clock.After(workEvery)
 		case <-report:
 			if outcomes := s.deps.Outcomes(); len(outcomes) > 0 {
 				s.send(messenger.Packet{Outcomes: outcomes})
@@ -140,6 +151,20 @@
 	}
 }
 
+// tellWork reports to the control instances of the own data centre; nothing is said while there is nothing to say.
+func (s *Subscriber) tellWork() {
+	list := s.deps.Work()
+	if len(list) == 0 && !s.toldWork {
+		return
+	}
+	s.toldWork = len(list) > 0
+	for l := range s.lines {
+		if l.Greeted().DataCentre == s.deps.Self.DataCentre {
+			l.Send(messenger.Packet{Work: list, TellsWork: true})
+		}
+	}
+}
+
 // drain takes in what waits already, so that one view shows all of it.
 func (s *Subscriber) drain() {
 	for {
@@ -207,6 +232,9 @@
 	if len(p.RollOuts) > 0 {
 		s.adoptRollOuts(p.RollOuts)
 	}
+	if p.TellsWork {
+		s.deps.HearWork(p.OthersWork)
+	}
 	s.addCrashers(p.Crashers)
 }
 
