--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -84,6 +84,9 @@
 	s.running.Add(1)
 	x.urgency, x.work = urgencyOf(t.route, t.workspace), t.promptWork(s)
 	s.work.add(x.urgency, x.work)
+	if x.work >= longPrompt {
+		t.f.deps.WorkGrown()
+	}
 	t.f.prefixes.note(t.prefixKey(), s.Name, now)
 	x.cancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	header := t.f.deps.Codec.Prepare(t.Request, t.attempt(s))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,6 +37,8 @@
 	Rules      Rules
 	// Crashed is told of a request that crashed several backend servers.
 	Crashed func(digest uint64)
+	// WorkGrown is told of a long prompt that was sent to a server.
+	WorkGrown func()
 }
 
 // Forwarder is the traffic side of an entry instance.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -73,7 +73,9 @@
 		return !t.mayRepeat(), t.lost("the stream could not go on elsewhere")
 	}
 	t.ran = true
-	if t.escalate(x) {
+	if small := t.model; t.escalate(x) {
+		t.f.deps.Common.Log.Info("larger model asked", "request", t.ID, "server", x.server.Name, "model", small, "confidence", x.verdict.Confidence,
+			"since-sent-ms", int64(t.f.deps.Common.Clock.Now()-x.sentAt), "next", t.model)
 		x.end(false)
 		x.server.succeeded()
 		t.f.noteFirst(t, x.server, t.f.deps.Common.Clock.Now()-x.sentAt)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -10,6 +10,8 @@
 const (
 	// ranks is how many urgencies are told apart in the work that waits at a server.
 	ranks = lastUrgency + 1
+	// longPrompt is the work, in milliseconds, that others should know of at once: it delays short prompts noticeably.
+	longPrompt = 30.0
 	// paceGrowth lets the learned pace of a model rise again when every prompt takes longer than it says.
 	paceGrowth = 1.01
 	// minPaceTokens is the least prompt that a pace is learned from: shorter ones measure the way there.
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -67,7 +67,8 @@
 			RetryWindow: settings.Retries.Window, SessionSpan: settings.Session.Span,
 			Confidence: int(float64(settings.Cascade.Confidence) * percent),
 		},
-		Crashed: func(digest uint64) { e.subscriber.TellCrasher(digest) },
+		Crashed:   func(digest uint64) { e.subscriber.TellCrasher(digest) },
+		WorkGrown: func() { e.subscriber.WorkGrown() },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
 		Common: common, Self: messenger.Greeting{
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -79,6 +79,7 @@
 	// work is what each entry instance told last, and toldWork which of them were told of others' work last.
 	work     map[*messenger.Line][]messenger.Work
 	toldWork map[*messenger.Line]bool
+	workDue  <-chan timer.Tick
 	stopping bool
 }
 
@@ -160,14 +161,13 @@
 func (s *Steward) loop() error {
 	s.keepLines()
 	tick := s.deps.Common.Clock.After(dutiesEvery)
-	work := s.deps.Common.Clock.After(workEvery)
 	for {
 		select {
 		case f := <-s.events:
 			f()
-		case <-work:
+		case <-s.workDue:
+			s.workDue = nil
 			s.tellWork()
-			work = s.deps.Common.Clock.After(workEvery)
 		case <-tick:
 			s.expire()
 			s.keepLines()
@@ -226,6 +226,9 @@
 	}
 	if p.TellsWork {
 		s.work[l] = p.Work
+		if s.workDue == nil {
+			s.workDue = s.deps.Common.Clock.After(workPause)
+		}
 	}
 	if p.Want > 0 && s.policy.Version > 0 {
 		policy := s.policy
--- a/internal/steward/work.go
+++ b/internal/steward/work.go
@@ -8,9 +8,9 @@
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// workEvery is the time between rounds that tell the entry instances of this data centre about each other's work; prompts
-// wait for hundreds of milliseconds where it matters.
-const workEvery = 150 * timer.Millisecond
+// workPause gathers what several entry instances tell of their work into one message: a prompt waits for tens of
+// milliseconds at least where it matters.
+const workPause = 10 * timer.Millisecond
 
 // tellWork sends every entry instance of the own data centre the sum of what the others there have sent. Work crosses
 // between data centres seldom, so it is not told there.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -63,8 +63,10 @@
 	deps   Deps
 	dialer *messenger.Dialer
 	events chan func()
-	tomb   tomb.Tomb
-	lines  map[*messenger.Line]bool
+	// grown asks for a report on work before its time.
+	grown chan struct{}
+	tomb  tomb.Tomb
+	lines map[*messenger.Line]bool
 
 	seeds   []string
 	control map[*messenger.Line][]string
@@ -78,7 +80,7 @@
 // NewSubscriber returns a subscriber that is not started.
 func NewSubscriber(deps Deps) *Subscriber {
 	s := &Subscriber{
-		deps: deps, events: make(chan func(), maxEvents), lines: map[*messenger.Line]bool{}, seeds: deps.Seeds,
+		deps: deps, events: make(chan func(), maxEvents), grown: make(chan struct{}, 1), lines: map[*messenger.Line]bool{}, seeds: deps.Seeds,
 		control: map[*messenger.Line][]string{}, roster: registrar.NewRoster(), view: View{Crashers: map[uint64]bool{}},
 	}
 	s.dialer = messenger.NewDialer(messenger.Ends{
@@ -120,6 +122,14 @@
 	})
 }
 
+// WorkGrown lets the others know at once of a long prompt that was sent to a server; it never waits.
+func (s *Subscriber) WorkGrown() {
+	select {
+	case s.grown <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Subscriber) post(f func()) {
 	select {
 	case s.events <- f:
@@ -137,6 +147,8 @@
 			f()
 			s.drain()
 			s.publish()
+		case <-s.grown:
+			s.tellWork()
 		case <-work:
 			s.tellWork()
 			work = s.deps.Common.Clock.After(workEvery)
