--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -103,6 +103,7 @@
 // Cascade says when an entry instance asks a larger model.
 type Cascade struct {
 	Confidence decoder.Share `ini:"confidence" default:"50%" doc:"Least confidence of a smaller model whose answer is taken."`
+	Lift       decoder.Share `ini:"lift" default:"14%" doc:"How much more confident the next larger model is; one that would still doubt is passed over for the largest."`
 }
 
 // Servers says when an announced backend server counts as gone.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,6 +27,8 @@
 	SessionSpan timer.Millis
 	// Confidence is the least confidence, from 0 to 100, with which a smaller model's answer is taken.
 	Confidence int
+	// Lift is by how much the next larger model is more confident, in the same points.
+	Lift int
 }
 
 // Deps is what a forwarder needs.
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -287,35 +288,43 @@
 	return models[0]
 }
 
-// escalate moves the request to the largest size where the model that answers doubts its answer; it reports whether the
-// answer at hand is to be dropped.
+// escalate moves the request to a larger size where the model that answers doubts its answer; it reports whether the
+// answer at hand is to be dropped. The longer the prompts wait already, the more doubt is accepted: an answer that comes
+// too late is worth less than one that may be wrong, and each escalation makes others wait.
 func (t *task) escalate(x *exchange) bool {
 	models := t.route.Models
 	if t.model == "" || t.writer.status != 0 || t.LastEvent != "" || t.model == models[len(models)-1] {
 		return false
 	}
+	rules := t.f.deps.Rules
 	c := x.verdict.Confidence
-	if c < 0 || c >= t.f.deps.Rules.Confidence || t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
+	if c < 0 || c >= rules.Confidence || t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
 		return false
 	}
-	small := t.model
+	small, tried := t.model, t.tried
 	t.model = models[len(models)-1]
-	if best := t.cheapestNow(); best == nil {
-		t.model = small
-		return false
+	if next := slices.Index(models, small) + 1; next < len(models)-1 && t.attempts+1 < t.route.MaxAttempts && c+rules.Lift >= rules.Confidence {
+		t.model = models[next]
+	}
+	t.tried = map[string]bool{}
+	now := t.f.deps.Common.Clock.Now()
+	best := t.cheapest(t.candidates(now), now, false)
+	if best != nil && t.worthAsking(best, c, now) {
+		return true
 	}
-	return true
+	t.model, t.tried = small, tried
+	return false
 }
 
-// cheapestNow returns a server that has room for the request as it is now, nil when there is none.
-func (t *task) cheapestNow() *server {
-	now := t.f.deps.Common.Clock.Now()
-	list := t.candidates(now)
-	tried := t.tried
-	t.tried = map[string]bool{}
-	best := t.cheapest(list, now, false)
-	if best == nil {
-		t.tried = tried
+// pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
+const pressureWeight = 140.0
+
+// worthAsking reports whether the model's larger answer is worth its wait at a server.
+func (t *task) worthAsking(s *server, confidence int, now timer.Millis) bool {
+	wait := s.work.before(urgencyOf(t.route, t.workspace), now) + t.promptWork(s)
+	if now+timer.Millis(wait) >= t.deadline {
+		return false
 	}
-	return best
+	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target))
+	return float64(confidence) < asked
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -65,7 +65,7 @@
 		Rules: forwarder.Rules{
 			RetryShare: float64(settings.Retries.Share), RetrySlack: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionSpan: settings.Session.Span,
-			Confidence: int(float64(settings.Cascade.Confidence) * percent),
+			Confidence: int(float64(settings.Cascade.Confidence) * percent), Lift: int(float64(settings.Cascade.Lift) * percent),
 		},
 		Crashed:   func(digest uint64) { e.subscriber.TellCrasher(digest) },
 		WorkGrown: func() { e.subscriber.WorkGrown() },
