--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -82,7 +82,7 @@
 	}
 	x.conn = c
 	s.running.Add(1)
-	x.urgency, x.work = urgencyOf(t.route, t.workspace), t.promptWork(s)
+	x.urgency, x.work = t.urgency(s), t.promptWork(s)
 	s.work.add(x.urgency, x.work)
 	if x.work >= longPrompt {
 		t.f.deps.WorkGrown()
@@ -126,7 +126,7 @@
 	if t.workspace != nil {
 		a.Workspace = t.workspace.Name
 	}
-	a.Urgency = urgencyOf(t.route, t.workspace)
+	a.Urgency = t.urgency(s)
 	return a
 }
 
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -123,7 +123,7 @@
 
 // cost estimates when the server would answer, in milliseconds, and adds what traffic and cold caches are worth.
 func (t *task) cost(s *server, load, slots int, slowness float64, place int, now timer.Millis) float64 {
-	work := s.work.before(urgencyOf(t.route, t.workspace), now) + t.promptWork(s)
+	work := s.work.before(t.urgency(s), now) + t.promptWork(s)
 	cost := work + float64(load)/float64(slots)*loadCost
 	if slowness > slowServer {
 		cost = cost*slowness + slowCost
@@ -317,14 +317,30 @@
 }
 
 // pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
-const pressureWeight = 140.0
+const pressureWeight = 60.0
 
-// worthAsking reports whether the model's larger answer is worth its wait at a server.
+// worthAsking reports whether the larger model's answer is worth its wait at a server.
 func (t *task) worthAsking(s *server, confidence int, now timer.Millis) bool {
-	wait := s.work.before(urgencyOf(t.route, t.workspace), now) + t.promptWork(s)
+	wait := s.work.before(t.urgency(s), now) + t.promptWork(s)
 	if now+timer.Millis(wait) >= t.deadline {
 		return false
 	}
 	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target))
 	return float64(confidence) < asked
 }
+
+const (
+	// shortPrompt is the work, in milliseconds, up to which a prompt goes before longer ones: it delays them little.
+	shortPrompt = 50.0
+	// shortGain is by how many ranks it does.
+	shortGain = 2
+)
+
+// urgency returns the rank of the request's prompt at a server; 0 is first.
+func (t *task) urgency(s *server) int {
+	u := urgencyOf(t.route, t.workspace)
+	if t.promptWork(s) <= shortPrompt {
+		u -= shortGain
+	}
+	return max(0, u)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -57,10 +57,26 @@
 		now := t.f.deps.Common.Clock.Now()
 		silent := min(since, now-timer.Millis(s.lastByte.Load()))
 		dead := max(deadAfter, t.f.expected(t)*3/2)
-		return silent < dead && since < firstPatience*t.route.Target
+		return silent < dead && since < firstPatience*t.route.Target && !t.stuck(s, since, now)
 	}
 }
 
+const (
+	// stuckShare is the part of the target, in percent, after which a prompt that others overtake may go elsewhere.
+	stuckShare = 60
+	// stuckWork is the most work, in milliseconds, at the other server: moving must pay.
+	stuckWork = 100.0
+)
+
+// stuck reports whether a prompt waits far longer than another server would let it wait.
+func (t *task) stuck(s *server, since, now timer.Millis) bool {
+	if t.writer.status != 0 || since*100 < t.route.Target*stuckShare {
+		return false
+	}
+	other := t.cheapest(t.candidates(now), now, false)
+	return other != nil && other.Name != s.Name && other.work.before(t.urgency(other), now) < stuckWork
+}
+
 // takeStream sends the events of one attempt on; done says that the request needs no other attempt.
 func (t *task) takeStream(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.end(false) }()
