--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -242,10 +242,10 @@
 	drawn := float64(mix(xxhash.Sum64String(key))%1000) / 1000
 	p, pinned := t.f.sessions.get(t.Session, now)
 	switch {
-	case progress < haltUntil && t.f.halted(t.service, target):
-		return old
 	case pinned && p.version == target:
 		return target
+	case progress < haltUntil && t.f.halted(t.service, target):
+		return old
 	case pinned && progress < sessionsMove:
 		return old
 	case drawn < targetShare(progress):
@@ -317,7 +317,7 @@
 }
 
 // pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
-const pressureWeight = 60.0
+const pressureWeight = 50.0
 
 // worthAsking reports whether the larger model's answer is worth its wait at a server.
 func (t *task) worthAsking(s *server, confidence int, now timer.Millis) bool {
