--- /dev/null
+++ b/internal/applier/policy_test.go
@@ -0,0 +1,103 @@
+package applier
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func applyTo(t *testing.T, s *State, c Command) Result {
+	t.Helper()
+	raw, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := s.Apply(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestTheHighestPolicyVersionIsInForce(t *testing.T) {
+	tests := map[string]struct {
+		sent []int64
+		want int64
+	}{
+		"in order":      {[]int64{3, 7, 9}, 9},
+		"out of order":  {[]int64{9, 3, 7}, 9},
+		"sent again":    {[]int64{9, 9}, 9},
+		"version zero":  {[]int64{0}, 0},
+		"uneven steps":  {[]int64{1, 100, 50, 101}, 101},
+		"a single loss": {[]int64{2, 1}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			for i, version := range tt.sent {
+				p, err := NewPolicy(version, []byte(strings.Repeat("x", i+1)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				applyTo(t, s, Command{Publish: &p})
+			}
+			if s.Policy().Version != tt.want {
+				t.Fatalf("version %d is in force, want %d", s.Policy().Version, tt.want)
+			}
+		})
+	}
+}
+
+func TestOtherContentUnderTheSameVersionChangesNothing(t *testing.T) {
+	s := NewState()
+	first, err := NewPolicy(4, []byte("first"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := NewPolicy(4, []byte("second"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	applyTo(t, s, Command{Publish: &first})
+	if r := applyTo(t, s, Command{Publish: &second}); r.Version != 4 {
+		t.Fatalf("acknowledged with version %d", r.Version)
+	}
+	text, err := s.Policy().Plain()
+	if err != nil || !bytes.Equal(text, []byte("first")) {
+		t.Fatalf("read %q, %v", text, err)
+	}
+}
+
+func TestRollOutsLastAndEndOnce(t *testing.T) {
+	s := NewState()
+	start := func(target string) {
+		applyTo(t, s, Command{At: 5, RollOut: &RollOut{Service: "s", Target: target, Span: 1000}})
+	}
+	settle := func(target string, state RollOutState) {
+		applyTo(t, s, Command{Settle: &Settle{Service: "s", Target: target, State: state}})
+	}
+	start("v2")
+	start("v2")
+	settle("v2", RollOutRolledBack)
+	settle("v2", RollOutCompleted)
+	if r, _ := s.RollOut("s"); r.State != RollOutRolledBack || len(r.Bad) != 1 {
+		t.Fatalf("the roll-out came out as %+v", r)
+	}
+	start("v2")
+	if r, _ := s.RollOut("s"); r.State != RollOutRolledBack {
+		t.Fatal("an order that was sent again began the roll-out anew")
+	}
+	start("v3")
+	settle("v3", RollOutCompleted)
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := NewState()
+	if err := copied.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if r, _ := copied.RollOut("s"); r.State != RollOutCompleted || r.Stable != "v3" || len(r.Bad) != 1 {
+		t.Fatalf("the snapshot holds %+v", r)
+	}
+}
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -27,7 +27,9 @@
 	if err != nil {
 		return err
 	}
-	common := observer.NewCommon("eelgrasshook", c.err, settings.Log.Level, settings.Log.Format == "json")
+	sink := observer.NewSink(c.out)
+	defer sink.Close()
+	common := observer.NewCommon("eelgrasshook", sink, settings.Log.Level, settings.Log.Format == "json")
 	process, err := launcher.NewProcess(common, settings)
 	if err != nil {
 		return err
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -35,10 +35,7 @@
 	maxForeign = 3
 )
 
-var (
-	errStale   = errors.New("the connection was closed while it was idle")
-	errForeign = errors.New("the connection carries answers to other requests")
-)
+var errForeign = errors.New("the connection carries answers to other requests")
 
 // conn is one connection to a backend server, used by one request at a time.
 type conn struct {
@@ -53,6 +50,7 @@
 type pool struct {
 	address string
 	now     func() timer.Millis
+	open    Dial
 	mu      sync.Mutex
 	idle    []*conn
 	closed  bool
@@ -116,9 +114,19 @@
 	p.idle = kept
 }
 
+// Dial makes a connection to an address within the context's time.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// NewDial returns a Dial for TCP.
+func NewDial() Dial {
+	d := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+}
+
 func (p *pool) dial(ctx context.Context, limit timer.Millis) (*conn, error) {
-	d := net.Dialer{Timeout: limit.Duration(), KeepAlive: -1, Control: setUserTimeout}
-	raw, err := d.DialContext(ctx, "tcp", p.address)
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	raw, err := p.open(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarder/fleet.go
+++ b/internal/forwarder/fleet.go
@@ -59,7 +59,7 @@
 		if old != nil {
 			old.pool.close()
 		}
-		return newServer(m, f.deps.Common.Clock.Now)
+		return newServer(m, f.deps.Common.Clock.Now, f.deps.Dial)
 	}
 	if old.Standing == m.Standing && old.Version == m.Version && old.Slots == m.Slots && old.Service == m.Service {
 		return old
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,6 +36,7 @@
 	Common     observer.Common
 	DataCentre string
 	Codec      Codec
+	Dial       Dial
 	Rules      Rules
 	// Crashed is told of a request that crashed several backend servers.
 	Crashed func(digest uint64)
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -65,19 +65,20 @@
 		if t.mayRepeat() {
 			return false, nil
 		}
-		return true, t.deliver(x, body, now)
+		t.deliver(x, body, now)
+		return true, nil
 	}
 	x.server.succeeded()
 	t.f.noteFirst(t, x.server, took)
-	return true, t.deliver(x, body, now)
+	t.deliver(x, body, now)
+	return true, nil
 }
 
 // deliver sends a whole answer to the caller.
-func (t *task) deliver(x *exchange, body []byte, now timer.Millis) *Refusal {
+func (t *task) deliver(x *exchange, body []byte, now timer.Millis) {
 	if err := t.writer.whole(x.res, body, now); err != nil {
 		t.f.deps.Common.Counter("requests.caller-left").Inc(1)
 	}
-	return nil
 }
 
 // lost is the answer to a request that may have run and has no answer.
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -57,8 +57,8 @@
 	firstCount int
 }
 
-func newServer(m registrar.Member, now func() timer.Millis) *server {
-	return &server{Member: m, health: &health{hash: xxhash.Sum64String(m.Name), pool: &pool{address: m.Address, now: now}}}
+func newServer(m registrar.Member, now func() timer.Millis, dial Dial) *server {
+	return &server{Member: m, health: &health{hash: xxhash.Sum64String(m.Name), pool: &pool{address: m.Address, now: now, open: dial}}}
 }
 
 // withMember returns the server with what it announced since.
--- /dev/null
+++ b/internal/forwarder/versions_test.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// rolling returns a world with an old and a new version and a roll-out of the given state and progress.
+func rolling(t *testing.T, state applier.RollOutState, progress float64) (w *world, old, target *backend) {
+	answer := func(_ int, r *http.Request, w io.Writer) bool { return say(w, whole(r.Header.Get("Id"), "ok")) }
+	old, target = &backend{answer: answer}, &backend{answer: answer}
+	w = newWorld(t, matcher.Route{Kind: matcher.KindSafe}, map[string]*backend{"s1": old, "s2": target})
+	for i := range w.members {
+		if w.members[i].Name == "s2" {
+			w.members[i].Version, w.members[i].Incarnation = "v2", 2
+		}
+	}
+	const span = 100 * timer.Second
+	v := subscriber.View{Policy: w.policy, Members: w.members}
+	if state != "" {
+		r := applier.RollOut{Service: "s", Target: "v2", State: state, Span: span}
+		if state == applier.RollOutRolledBack {
+			r.Bad = []string{"v2"}
+		}
+		begun := w.f.deps.Common.Clock.Now() - timer.Millis(progress*float64(span))
+		v.RollOuts = []subscriber.RollOut{{RollOut: r, Begun: begun}}
+	}
+	w.f.Publish(v)
+	return w, old, target
+}
+
+func TestShareOfVersions(t *testing.T) {
+	const requests = 400
+	tests := map[string]struct {
+		state       applier.RollOutState
+		progress    float64
+		least, most int
+	}{
+		"a version that nobody ordered takes nothing": {"", 0, 0, 0},
+		"a new version begins with a few":             {applier.RollOutRunning, 0.1, 10, 60},
+		"it has all before the limit":                 {applier.RollOutRunning, 0.9, requests, requests},
+		"a completed one has all":                     {applier.RollOutCompleted, 1, requests, requests},
+		"a rolled back one has nothing":               {applier.RollOutRolledBack, 0.3, 0, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, _, target := rolling(t, tt.state, tt.progress)
+			for n := range requests {
+				w.serve(Request{ID: fmt.Sprintf("id-%d", n)})
+			}
+			if n := len(target.requests()); n < tt.least || n > tt.most {
+				t.Fatalf("the new version got %d of %d requests, want %d to %d", n, requests, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+func TestSessionsKeepTheirVersion(t *testing.T) {
+	tests := map[string]struct {
+		pinned   string
+		progress float64
+		halted   bool
+		want     string
+	}{
+		"a session of the old version stays in the first half":       {"v1", 0.45, false, "s1"},
+		"it moves when the new version has all":                      {"v1", 0.9, false, "s2"},
+		"a session of the new version stays":                         {"v2", 0.1, false, "s2"},
+		"a session of the new version stays when others are held":    {"v2", 0.1, true, "s2"},
+		"sessions without a version are held back from a bad target": {"", 0.1, true, "s1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, old, target := rolling(t, applier.RollOutRunning, tt.progress)
+			if tt.halted {
+				task := &task{route: &w.policy.Routes[0]}
+				for range haltBad {
+					w.f.note(task, w.f.known["s2"], resultBad)
+				}
+			}
+			for n := range 50 {
+				session := fmt.Sprintf("session-%d", n)
+				if tt.pinned != "" {
+					w.f.sessions.set(session, pin{version: tt.pinned, at: w.f.deps.Common.Clock.Now()})
+				}
+				w.serve(Request{ID: session, Session: session})
+			}
+			got := map[string]int{"s1": len(old.requests()), "s2": len(target.requests())}
+			if got[tt.want] != 50 {
+				t.Fatalf("got %v, want all at %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	now := timer.Millis(0)
+	b := newBudget(Rules{RetryShare: 0.5, RetrySlack: 3, RetryWindow: 10 * timer.Second}, func() timer.Millis { return now })
+	spent := 0
+	for range 100 {
+		b.earn()
+		for b.left() {
+			b.spend()
+			spent++
+		}
+	}
+	if spent > 53 {
+		t.Fatalf("100 requests allowed %d repeats, at most 53 are earned", spent)
+	}
+	now += 10 * timer.Second
+	if !b.left() {
+		t.Fatal("the slack has not grown back within a window")
+	}
+}
+
+func TestAServerThatFailsAgainAndAgainIsSetAside(t *testing.T) {
+	s := newServer(registrar.Member{Name: "s"}, func() timer.Millis { return 0 }, nil)
+	s.failed(0, true)
+	if suspended, _ := s.state(1); suspended {
+		t.Fatal("one failure set the server aside")
+	}
+	s.failed(1, true)
+	if suspended, _ := s.state(2); !suspended {
+		t.Fatal("two failures in a row did not set the server aside")
+	}
+	if suspended, _ := s.state(1 + maxSuspension); suspended {
+		t.Fatal("the server is not tried again")
+	}
+}
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -10,6 +10,8 @@
 const (
 	// ranks is how many urgencies are told apart in the work that waits at a server.
 	ranks = lastUrgency + 1
+	// laterShare is the part of less urgent prompts that delays a more urgent one: those that are being read already.
+	laterShare = 0.7
 	// longPrompt is the work, in milliseconds, that others should know of at once: it delays short prompts noticeably.
 	longPrompt = 30.0
 	// paceGrowth lets the learned pace of a model rise again when every prompt takes longer than it says.
@@ -42,11 +44,15 @@
 	defer w.mu.Unlock()
 	sum := 0.0
 	fresh := now-w.heardAt < othersAge
-	for u := 0; u <= urgency; u++ {
-		sum += w.own[u]
+	for u := range ranks {
+		waiting := w.own[u]
 		if fresh {
-			sum += w.others[u]
+			waiting += w.others[u]
 		}
+		if u > urgency {
+			waiting *= laterShare
+		}
+		sum += waiting
 	}
 	return sum
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -61,7 +61,7 @@
 func NewEntry(common observer.Common, settings configurer.Settings) (*Entry, error) {
 	e := &Entry{common: common, settings: settings}
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
-		Common: common, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(),
+		Common: common, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(), Dial: forwarder.NewDial(),
 		Rules: forwarder.Rules{
 			RetryShare: float64(settings.Retries.Share), RetrySlack: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionSpan: settings.Session.Span,
--- /dev/null
+++ b/internal/steward/guard_test.go
@@ -0,0 +1,52 @@
+package steward
+
+import (
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+func TestVerdict(t *testing.T) {
+	const span = 20 * timer.Second
+	tests := map[string]struct {
+		before, target map[string]count
+		running        int
+		elapsed        timer.Millis
+		want           applier.RollOutState
+	}{
+		"few bad answers may be chance": {
+			before: map[string]count{"": {100, 2}}, target: map[string]count{"": {2, 3}}, elapsed: 2 * timer.Second,
+		},
+		"half of the answers are bad": {
+			before: map[string]count{"": {100, 2}}, target: map[string]count{"": {10, 10}}, elapsed: 2 * timer.Second, want: applier.RollOutRolledBack,
+		},
+		"one route is bad": {
+			before: map[string]count{"": {900, 9}, "r": {100, 1}}, target: map[string]count{"": {90, 4}, "r": {6, 4}},
+			elapsed: 5 * timer.Second, want: applier.RollOutRolledBack,
+		},
+		"the version before fails as often": {
+			before: map[string]count{"": {70, 30}}, target: map[string]count{"": {14, 6}}, elapsed: 5 * timer.Second,
+		},
+		"requests still run on the version before": {
+			before: map[string]count{"": {100, 0}}, target: map[string]count{"": {50, 0}}, running: 3, elapsed: 16 * timer.Second,
+		},
+		"all is done": {
+			before: map[string]count{"": {100, 0}}, target: map[string]count{"": {50, 0}}, elapsed: 16 * timer.Second, want: applier.RollOutCompleted,
+		},
+		"the limit is near": {
+			before: map[string]count{"": {100, 0}}, target: map[string]count{"": {50, 0}}, running: 3, elapsed: span - timer.Second, want: applier.RollOutCompleted,
+		},
+		"a bad version is not completed at its limit": {
+			before: map[string]count{"": {100, 20}}, target: map[string]count{"": {14, 32}}, elapsed: span, want: applier.RollOutRolledBack,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, why := verdict(tally{before: tt.before, target: tt.target, running: tt.running}, tt.elapsed, span)
+			if got != tt.want {
+				t.Fatalf("got %q (%s), want %q", got, why, tt.want)
+			}
+		})
+	}
+}
