Tell all instances which sessions run on the old version

Ruled out: the end of the first half (the requests came at 8 of 24 s) and instances that hold a version back (no such line).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,11 +56,12 @@
 	strikes  *strikes
 	paces    *paces
 	// arrived is closed once the first policy is known.
-	arrived  chan struct{}
-	prefixes *prefixes
-	running  atomic.Int64
-	latency  metrics.Histogram
-	tomb     tomb.Tomb
+	arrived   chan struct{}
+	prefixes  *prefixes
+	holdovers *holdovers
+	running   atomic.Int64
+	latency   metrics.Histogram
+	tomb      tomb.Tomb
 }
 
 // NewForwarder returns a forwarder that knows no policy yet.
@@ -68,7 +69,7 @@
 	f := &Forwarder{
 		deps: deps, known: map[string]*server{}, budget: newBudget(deps.Rules, deps.Common.Clock.Now),
 		sessions: newSessions(deps.Rules.SessionSpan), outcomes: newOutcomes(), strikes: newStrikes(),
-		paces: newPaces(), arrived: make(chan struct{}), prefixes: newPrefixes(),
+		paces: newPaces(), arrived: make(chan struct{}), prefixes: newPrefixes(), holdovers: newHoldovers(),
 		latency: deps.Common.Histogram("requests.first-byte-ms"),
 	}
 	f.picture.Store(&picture{})
--- a/internal/forwarder/learn.go
+++ b/internal/forwarder/learn.go
@@ -66,6 +66,7 @@
 }
 
 type pin struct {
+	service string
 	version string
 	server  string
 	at      timer.Millis
@@ -94,6 +95,19 @@
 	s.rows[id] = p
 }
 
+// on returns the sessions that had a request lately and whose pin is wanted.
+func (s *sessions) on(now timer.Millis, wanted func(pin) bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, p := range s.rows {
+		if now-p.at <= s.span && wanted(p) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (s *sessions) clean(now timer.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -52,7 +52,7 @@
 			if t.attempts > 1 {
 				t.f.budget.spend()
 			}
-			t.f.sessions.set(t.Session, pin{version: s.Version, server: s.Name, at: now})
+			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, at: now})
 			return s, nil
 		}
 		if t.writer.status == 0 && now > patience || now >= t.deadline {
@@ -239,14 +239,17 @@
 	if key == "" {
 		key = t.ID
 	}
-	drawn := float64(mix(xxhash.Sum64String(key))%1000) / 1000
+	drawn := drawOf(key)
 	p, pinned := t.f.sessions.get(t.Session, now)
+	early := progress < sessionsMove
 	switch {
 	case pinned && p.version == target:
 		return target
-	case progress < haltUntil && t.f.halted(t.service, target):
+	case now-v.running.Begun < holdSpan:
 		return old
-	case pinned && progress < sessionsMove:
+	case early && (pinned || t.f.holdovers.holds(holdoverKey(key, v.running))):
+		return old
+	case !early && progress < haltUntil && t.f.halted(t.service, target):
 		return old
 	case drawn < targetShare(progress):
 		return target
@@ -266,7 +269,7 @@
 func targetShare(progress float64) float64 {
 	switch {
 	case progress < sessionsMove:
-		return 0.08
+		return firstShare
 	case progress < 0.6:
 		return 0.25
 	case progress < 0.68:
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -76,6 +76,7 @@
 		},
 		Seeds: linkAddresses(settings), Decode: platform.DecodeStored, Publish: e.forwarder.Publish, Outcomes: e.forwarder.Outcomes,
 		Work: e.forwarder.Work, HearWork: e.forwarder.HearWork,
+		Holdovers: e.forwarder.Holdovers, HearHoldovers: e.forwarder.HearHoldovers,
 	})
 	front := platform.Front{
 		Common: common, Limits: e.forwarder.Limits, Stopping: e.stopping.Load,
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -53,6 +53,8 @@
 	Work       []Work `cbor:"13,keyasint,omitempty"`
 	OthersWork []Work `cbor:"14,keyasint,omitempty"`
 	TellsWork  bool   `cbor:"15,keyasint,omitempty"`
+	// Holdovers are sessions that stay on the old version in the first half of a roll-out.
+	Holdovers []uint64 `cbor:"16,keyasint,omitempty"`
 	// Call asks the leader, and Reply answers.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/changes.go
+++ b/internal/steward/changes.go
@@ -68,6 +68,9 @@
 		return
 	}
 	s.rollOuts = rollOuts
+	if !slices.ContainsFunc(rollOuts, func(r applier.RollOut) bool { return r.State == applier.RollOutRunning }) {
+		clear(s.holdovers)
+	}
 	now := s.deps.Common.Clock.Now()
 	for _, r := range rollOuts {
 		key := r.Service + " " + r.Target
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -79,8 +80,10 @@
 	// work is what each entry instance told last, and toldWork which of them were told of others' work last.
 	work     map[*messenger.Line][]messenger.Work
 	toldWork map[*messenger.Line]bool
-	workDue  <-chan timer.Tick
-	stopping bool
+	// holdovers are the sessions that stay on the old version, for instances that come later.
+	holdovers map[uint64]bool
+	workDue   <-chan timer.Tick
+	stopping  bool
 }
 
 // NewSteward returns a steward that is not started.
@@ -90,7 +93,7 @@
 		lines: map[*messenger.Line]messenger.Greeting{}, seeds: deps.Seeds, known: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), heard: map[string]timer.Millis{}, idleAt: map[string]timer.Millis{},
 		begun: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{}, seenAt: map[replicator.ID]timer.Millis{}, identities: map[string]replicator.ID{},
-		crashers: map[uint64]bool{}, work: map[*messenger.Line][]messenger.Work{}, toldWork: map[*messenger.Line]bool{},
+		crashers: map[uint64]bool{}, work: map[*messenger.Line][]messenger.Work{}, toldWork: map[*messenger.Line]bool{}, holdovers: map[uint64]bool{},
 	}
 	s.dialer = messenger.NewDialer(s.Ends())
 	return s
@@ -235,6 +238,21 @@
 		l.Send(messenger.Packet{Policy: &policy})
 	}
 	s.takeCrashers(p.Crashers)
+	s.takeHoldovers(p.Holdovers)
+}
+
+// takeHoldovers hands sessions on to the entry instances, which all hold a line to this instance.
+func (s *Steward) takeHoldovers(keys []uint64) {
+	var fresh []uint64
+	for _, key := range keys {
+		if !s.holdovers[key] {
+			s.holdovers[key] = true
+			fresh = append(fresh, key)
+		}
+	}
+	if len(fresh) > 0 {
+		s.sendToEntries(messenger.Packet{Holdovers: fresh})
+	}
 }
 
 // takeCrashers hands digests of crashing requests on to all instances, once each.
@@ -264,7 +282,7 @@
 		s.mu.Unlock()
 	}
 	s.deps.Common.Log.Info("instance reached", "instance", peer.Instance, "data-centre", peer.DataCentre)
-	p := messenger.Packet{Members: s.roster.Rows(), Control: s.control(), RollOuts: s.aged(), Crashers: s.crasherList()}
+	p := messenger.Packet{Members: s.roster.Rows(), Control: s.control(), RollOuts: s.aged(), Crashers: keysOf(s.crashers), Holdovers: keysOf(s.holdovers)}
 	if peer.Address == "" {
 		p.Offer = s.policy.Version
 		if peer.DataCentre == s.deps.Self.DataCentre && s.policy.Version > 0 {
@@ -276,12 +294,8 @@
 	s.sendToEntries(messenger.Packet{Control: s.control()})
 }
 
-func (s *Steward) crasherList() []uint64 {
-	list := make([]uint64, 0, len(s.crashers))
-	for d := range s.crashers {
-		list = append(list, d)
-	}
-	return list
+func keysOf(set map[uint64]bool) []uint64 {
+	return slices.Sorted(maps.Keys(set))
 }
 
 func (s *Steward) closed(l *messenger.Line) {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -54,6 +54,9 @@
 	// Work returns what this instance has sent to servers and waits there, and HearWork takes in what others have.
 	Work     func() []messenger.Work
 	HearWork func([]messenger.Work)
+	// Holdovers returns sessions on the old version of a roll-out that were not told yet, and HearHoldovers takes in others'.
+	Holdovers     func() []uint64
+	HearHoldovers func([]uint64)
 	// Outcomes returns what this instance saw of running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -156,6 +159,7 @@
 			if outcomes := s.deps.Outcomes(); len(outcomes) > 0 {
 				s.send(messenger.Packet{Outcomes: outcomes})
 			}
+			s.tellHoldovers()
 			report = s.deps.Common.Clock.After(reportEvery)
 		case <-ctx.Done():
 			return nil
@@ -177,6 +181,23 @@
 	}
 }
 
+// tellHoldovers reports to one control instance, which hands on to all entry instances; the own data centre's is nearest.
+func (s *Subscriber) tellHoldovers() {
+	keys := s.deps.Holdovers()
+	if len(keys) == 0 {
+		return
+	}
+	var best *messenger.Line
+	for l := range s.lines {
+		if best == nil || l.Greeted().DataCentre == s.deps.Self.DataCentre {
+			best = l
+		}
+	}
+	if best != nil {
+		best.Send(messenger.Packet{Holdovers: keys})
+	}
+}
+
 // drain takes in what waits already, so that one view shows all of it.
 func (s *Subscriber) drain() {
 	for {
@@ -247,6 +268,9 @@
 	if p.TellsWork {
 		s.deps.HearWork(p.OthersWork)
 	}
+	if len(p.Holdovers) > 0 {
+		s.deps.HearHoldovers(p.Holdovers)
+	}
 	s.addCrashers(p.Crashers)
 }
 
