--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -238,17 +238,17 @@
 	status := t.writer.status
 	if refusal != nil {
 		status = refusal.Status
+		if errors.Is(ctx.Err(), context.Canceled) {
+			f.deps.Common.Counter("requests.caller-left").Inc(1)
+			f.log(t, "caller left", t.writer.status, "the caller closed its connection, or this instance reached the limit of its stop")
+			panic(http.ErrAbortHandler)
+		}
 		if t.writer.status != 0 {
 			// Part of an answer went out: breaking the connection off is the only way to say that it is not whole.
 			f.log(t, "answer broken off", status, refusal.Reason)
 			f.deps.Common.Counter("requests.broken-off").Inc(1)
 			panic(http.ErrAbortHandler)
 		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			f.deps.Common.Counter("requests.caller-left").Inc(1)
-			f.log(t, "caller left", 0, refusal.Reason)
-			panic(http.ErrAbortHandler)
-		}
 		t.writer.refuse(refusal)
 	}
 	f.deps.Common.Counter("requests." + statusClass(status)).Inc(1)
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -40,7 +40,7 @@
 	// percent turns a share into the scale of confidences.
 	percent = 100
 	// stopReserve is the part of the stop's limit that is left for dropping what still runs.
-	stopReserve = 500 * timer.Millisecond
+	stopReserve = 300 * timer.Millisecond
 	// entryIdle ends a caller's idle connection; callers use theirs for less than half of it.
 	entryIdle = 90 * timer.Second
 )
