--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -319,6 +319,13 @@
 	return false
 }
 
+// busyWeight is how many points less confidence is asked for at a server whose slots are all taken, against one with
+// easyLoad of them taken: each further stream slows all others.
+const (
+	busyWeight = 140.0
+	easyLoad   = 0.35
+)
+
 // pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
 const pressureWeight = 50.0
 
@@ -328,7 +335,8 @@
 	if now+timer.Millis(wait) >= t.deadline {
 		return false
 	}
-	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target))
+	busy := max(0, float64(s.load(now))/float64(max(1, s.Slots))-easyLoad)
+	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target)) - busyWeight*busy
 	return float64(confidence) < asked
 }
 
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -59,12 +59,15 @@
 	tests := map[string]struct {
 		confidence string
 		waiting    float64
+		running    int64
 		models     string
 	}{
-		"a sure answer of the smallest model is taken":     {"80", 0, "small"},
-		"a doubtful answer is dropped for the largest":     {"10", 0, "small large"},
-		"a nearly sure one is dropped for the next larger": {"50", 0, "small middle"},
-		"a full queue makes doubt acceptable":              {"40", 800, "small"},
+		"a sure answer of the smallest model is taken":     {"80", 0, 0, "small"},
+		"a doubtful answer is dropped for the largest":     {"10", 0, 0, "small large"},
+		"a nearly sure one is dropped for the next larger": {"50", 0, 0, "small middle"},
+		"a full queue makes doubt acceptable":              {"40", 800, 0, "small"},
+		// The pattern: a pool lost servers, and streams crowd those that are left.
+		"crowded servers make doubt acceptable": {"30", 0, testSlots - 1, "small"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -80,6 +83,7 @@
 			route.Models = []string{"small", "middle", "large"}
 			w := newWorld(t, route, map[string]*backend{"s1": b})
 			w.f.known["s1"].work.hear([]float64{tt.waiting}, w.f.deps.Common.Clock.Now())
+			w.f.known["s1"].running.Add(tt.running)
 			if rec, broken := w.serve(Request{AnyModel: true, TokensIn: 300}); broken || rec.Body.String() != event(1) {
 				t.Fatalf("broken off %t, got %q", broken, rec.Body)
 			}
