--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -5,6 +5,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/gravitational/trace"
+
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/launcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
@@ -38,7 +40,10 @@
 		return err
 	}
 	w := &waiter{common: common, path: path, process: process, signals: signals}
-	w.run()
+	if err := w.run(); err != nil {
+		common.Log.Error("process ends: it cannot go on", "error", err)
+		return err
+	}
 	// Further signals change nothing: the stop has a limit of its own.
 	return process.Stop()
 }
@@ -52,16 +57,18 @@
 	seen    os.FileInfo
 }
 
-// run returns once the process is to stop.
-func (w *waiter) run() {
+// run returns once the process is to stop; the error says that it cannot go on.
+func (w *waiter) run() error {
 	w.changed()
 	for {
 		select {
 		case s := <-w.signals:
 			if s != syscall.SIGHUP {
-				return
+				return nil
 			}
 			w.reload("signal")
+		case <-w.process.Failed():
+			return trace.ConnectionProblem(nil, "the record's thread has ended; its last line tells why")
 		case <-w.common.Clock.After(settingsEvery):
 			if w.changed() {
 				w.reload("file changed")
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -22,6 +22,8 @@
 type Process interface {
 	Start() error
 	Reload(configurer.Settings)
+	// Failed is closed once the process cannot go on; nil where that cannot happen.
+	Failed() <-chan struct{}
 	Stop() error
 }
 
@@ -153,6 +155,11 @@
 	e.subscriber.SetSeeds(linkAddresses(e.settings))
 }
 
+// Failed returns nil: an entry instance has nothing that it could not go on without.
+func (e *Entry) Failed() <-chan struct{} {
+	return nil
+}
+
 // Stop fails readiness, serves on until the balancer has noticed, lets requests finish and ends.
 func (e *Entry) Stop() error {
 	begun := e.common.Clock.Now()
--- a/internal/launcher/lifecycle.go
+++ b/internal/launcher/lifecycle.go
@@ -109,6 +109,11 @@
 	i.common.Log.Warn("changed settings take effect at the next start", "instance", i.settings.Instance.Name)
 }
 
+// Failed returns nil: the record of an instance with all roles ends with the instance.
+func (i *Instance) Failed() <-chan struct{} {
+	return nil
+}
+
 // Stop fails readiness, waits for the balancer, lets requests finish and ends; a second call waits for the first.
 func (i *Instance) Stop() error {
 	if !i.stopBegun.CompareAndSwap(false, true) {
