Wait for an answer in the request's own goroutine

Cause: the race detector in TestALabelThatOthersOvertakeMovesToAnIdleServer: patience was asked from a timer's goroutine, which read and wrote the request's own state and could outlast the attempt. Now the wait is a read with a deadline, asked again.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -94,9 +96,10 @@
 	if err := c.write(t.Request, header); err != nil {
 		return t.failed(x, err)
 	}
-	stop := t.watch(x, patience)
+	if err := t.await(x, patience); err != nil {
+		return t.failed(x, err)
+	}
 	res, verdict, err := c.read(t.Method, t.ID, t.f.deps.Codec.Inspect)
-	stop()
 	if err != nil {
 		return t.failed(x, err)
 	}
@@ -133,29 +136,23 @@
 // watchEvery is the time between looks at a server that has not answered.
 const watchEvery = 100 * timer.Millisecond
 
-// watch drops the connection when patience with a silent server ends; patience is asked with the time since the
-// request was sent, in milliseconds.
-func (t *task) watch(x *exchange, patience func(timer.Millis) bool) (stop func()) {
+// await waits for the first byte of an answer, as long as patience lasts; patience is asked with the time since the
+// request was sent, in milliseconds. The end of the context closes the connection.
+func (t *task) await(x *exchange, patience func(timer.Millis) bool) error {
 	if patience == nil {
-		return func() {}
+		return nil
 	}
-	c := x.conn
-	var tick *time.Timer
-	done := make(chan struct{})
-	tick = time.AfterFunc(watchEvery.Duration(), func() {
-		select {
-		case <-done:
-			return
-		default:
+	for {
+		if err := x.conn.SetReadDeadline(time.Now().Add(watchEvery.Duration())); err != nil {
+			return err
+		}
+		_, err := x.conn.reader.Peek(1)
+		if err == nil {
+			return x.conn.SetReadDeadline(time.Time{})
 		}
-		if !patience(t.f.deps.Common.Clock.Now() - x.sentAt) {
-			_ = c.SetReadDeadline(time.Now())
-			return
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() || !patience(t.f.deps.Common.Clock.Now()-x.sentAt) {
+			return err
 		}
-		tick.Reset(watchEvery.Duration())
-	})
-	return func() {
-		close(done)
-		tick.Stop()
 	}
 }
