--- a/internal/applier/policy_test.go
+++ b/internal/applier/policy_test.go
@@ -6,19 +6,6 @@
 	"testing"
 )
 
-func applyTo(t *testing.T, s *State, c Command) Result {
-	t.Helper()
-	raw, err := c.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := s.Apply(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return r
-}
-
 func TestTheHighestPolicyVersionIsInForce(t *testing.T) {
 	tests := map[string]struct {
 		sent []int64
@@ -39,7 +26,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				applyTo(t, s, Command{Publish: &p})
+				apply(t, s, Command{Publish: &p})
 			}
 			if s.Policy().Version != tt.want {
 				t.Fatalf("version %d is in force, want %d", s.Policy().Version, tt.want)
@@ -58,8 +45,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	applyTo(t, s, Command{Publish: &first})
-	if r := applyTo(t, s, Command{Publish: &second}); r.Version != 4 {
+	apply(t, s, Command{Publish: &first})
+	if r := apply(t, s, Command{Publish: &second}); r.Version != 4 {
 		t.Fatalf("acknowledged with version %d", r.Version)
 	}
 	text, err := s.Policy().Plain()
@@ -71,10 +58,10 @@
 func TestRollOutsLastAndEndOnce(t *testing.T) {
 	s := NewState()
 	start := func(target string) {
-		applyTo(t, s, Command{At: 5, RollOut: &RollOut{Service: "s", Target: target, Span: 1000}})
+		apply(t, s, Command{At: 5, RollOut: &RollOut{Service: "s", Target: target, Span: 1000}})
 	}
 	settle := func(target string, state RollOutState) {
-		applyTo(t, s, Command{Settle: &Settle{Service: "s", Target: target, State: state}})
+		apply(t, s, Command{Settle: &Settle{Service: "s", Target: target, State: state}})
 	}
 	start("v2")
 	start("v2")
--- /dev/null
+++ b/internal/forwarder/cascade.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"slices"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// chooseModel returns the size that is asked first: the smallest, whose answer may turn out to be enough, where another
+// one can be asked after it.
+func (t *task) chooseModel() string {
+	models := t.route.Models
+	if len(models) == 0 {
+		return ""
+	}
+	if !t.route.Repeatable() || t.route.MaxAttempts < 2 {
+		return models[len(models)-1]
+	}
+	return models[0]
+}
+
+// escalate moves the request to a larger size where the model that answers doubts its answer; it reports whether the
+// answer at hand is to be dropped. The longer the prompts wait already, the more doubt is accepted: an answer that comes
+// too late is worth less than one that may be wrong, and each escalation makes others wait.
+func (t *task) escalate(x *exchange) bool {
+	models := t.route.Models
+	if t.model == "" || t.writer.status != 0 || t.LastEvent != "" || t.model == models[len(models)-1] {
+		return false
+	}
+	rules := t.f.deps.Rules
+	c := x.verdict.Confidence
+	if c < 0 || c >= rules.Confidence || t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
+		return false
+	}
+	small, tried := t.model, t.tried
+	t.model = models[len(models)-1]
+	if next := slices.Index(models, small) + 1; next < len(models)-1 && t.attempts+1 < t.route.MaxAttempts && c+rules.Lift >= rules.Confidence {
+		t.model = models[next]
+	}
+	t.tried = map[string]bool{}
+	now := t.f.deps.Common.Clock.Now()
+	best := t.cheapest(t.candidates(now), now, false)
+	if best != nil && t.worthAsking(best, c, now) {
+		return true
+	}
+	t.model, t.tried = small, tried
+	return false
+}
+
+// busyWeight is how many points less confidence is asked for at a server whose slots are all taken, against one with
+// easyLoad of them taken: each further stream slows all others.
+const (
+	busyWeight = 140.0
+	easyLoad   = 0.35
+)
+
+// pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
+const pressureWeight = 50.0
+
+// worthAsking reports whether the larger model's answer is worth its wait at a server.
+func (t *task) worthAsking(s *server, confidence int, now timer.Millis) bool {
+	wait := s.work.before(t.urgency(s), now) + t.promptWork(s)
+	if now+timer.Millis(wait) >= t.deadline {
+		return false
+	}
+	busy := max(0, float64(s.load(now))/float64(max(1, s.Slots))-easyLoad)
+	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target)) - busyWeight*busy
+	return float64(confidence) < asked
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -115,3 +116,8 @@
 	}
 	return min(firstUrgency+rank, lastUrgency)
 }
+
+// spread draws a span around the given one, so that callers do not come back all at once.
+func spread(m timer.Millis) timer.Millis {
+	return m/2 + timer.Millis(rand.Int64N(int64(m)))
+}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -23,6 +24,8 @@
 	greyRate       = 0.25
 	greySamples    = 6
 	greySuspension = 4 * timer.Second
+	// firstSamples is how many times to the first byte must be known before they count.
+	firstSamples = 4
 	// loadAge is how long a load report counts in full; after twice that only the own requests are known.
 	loadAge = 1500 * timer.Millisecond
 )
@@ -52,9 +55,8 @@
 	suspended  timer.Millis
 	failRate   float64
 	samples    int
-	// first is the moving average of the time to the first byte relative to what was expected, 1 being as expected.
-	first      float64
-	firstCount int
+	// first is the time to the first byte relative to what is usual, 1 being as usual.
+	first average
 }
 
 func newServer(m registrar.Member, now func() timer.Millis, dial Dial) *server {
@@ -116,25 +118,28 @@
 	}
 }
 
-// took notes the time to the first byte against what was expected.
-func (s *server) took(ratio float64) {
+// state returns whether the server is set aside now, and how slow it is.
+func (s *server) state(now timer.Millis) (suspended bool, slowness float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.firstCount++
-	if s.firstCount == 1 {
-		s.first = ratio
-		return
+	slowness = 1
+	if first, count := s.first.get(); count > firstSamples {
+		slowness = first
 	}
-	s.first += averageShare * (ratio - s.first)
+	return now < s.suspended, slowness
 }
 
-// state returns whether the server is set aside now, and how slow it is.
-func (s *server) state(now timer.Millis) (suspended bool, slowness float64) {
+// refused notes that the server had no room or was not the one meant.
+func (s *server) refused(now timer.Millis, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slowness = 1
-	if s.firstCount > 4 {
-		slowness = s.first
+	if status == http.StatusMisdirectedRequest {
+		// Another server has the address now.
+		s.suspended = now + maxSuspension
+		return
 	}
-	return now < s.suspended, slowness
+	s.suspended = max(s.suspended, now+fullSpan)
 }
+
+// fullSpan is how long a server that had no room is passed over, in milliseconds: about the time of one short request.
+const fullSpan = 60 * timer.Millisecond
--- /dev/null
+++ b/internal/forwarder/versions.go
@@ -0,0 +1,72 @@
+package forwarder
+
+import (
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// candidates returns the servers of the version that the request belongs to.
+func (t *task) candidates(now timer.Millis) []*server {
+	v := t.pic.versionsOf(t.service)
+	if v.running == nil || len(v.target) == 0 {
+		return v.stable
+	}
+	if len(v.stable) == 0 {
+		return v.target
+	}
+	if t.version == "" {
+		t.version = t.chooseVersion(now, v)
+	}
+	if t.version == v.running.Target {
+		return v.target
+	}
+	return v.stable
+}
+
+// chooseVersion divides requests between the old and the new version; a session moves to the new one in the second
+// half of a roll-out at the earliest, and never back.
+func (t *task) chooseVersion(now timer.Millis, v versions) string {
+	old := v.stable[0].Version
+	target := v.running.Target
+	progress := float64(now-v.running.Begun) / float64(max(1, v.running.Span))
+	key := t.Session
+	if key == "" {
+		key = t.ID
+	}
+	drawn := drawOf(key)
+	p, pinned := t.f.sessions.get(t.Session, now)
+	early := progress < sessionsMove
+	switch {
+	case pinned && p.version == target:
+		return target
+	case now-v.running.Begun < holdSpan:
+		return old
+	case early && (pinned || t.f.holdovers.holds(holdoverKey(key, v.running))):
+		return old
+	case !early && progress < haltUntil && t.f.halted(t.service, target):
+		return old
+	case drawn < targetShare(progress):
+		return target
+	}
+	return old
+}
+
+// sessionsMove is the part of a roll-out before which no session changes its version; a margin over one half, because
+// instances learn of the start at different times.
+const sessionsMove = 0.53
+
+// haltUntil is the part of a roll-out after which an instance no longer holds the target back by itself: the leader has
+// judged by then.
+const haltUntil = 0.7
+
+// targetShare is the part of sessions that the new version gets as a roll-out goes on.
+func targetShare(progress float64) float64 {
+	switch {
+	case progress < sessionsMove:
+		return firstShare
+	case progress < 0.6:
+		return 0.25
+	case progress < 0.68:
+		return 0.5
+	}
+	return 1
+}
--- a/internal/forwarder/writer.go
+++ b/internal/forwarder/writer.go
@@ -15,9 +15,12 @@
 	firstAt timer.Millis
 }
 
-// hopHeaders concern one connection only.
-func hopHeaders() []string {
-	return []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length"}
+// HopHeaders returns the headers that concern one connection only.
+func HopHeaders() []string {
+	return []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
+		"Upgrade", "Content-Length",
+	}
 }
 
 // begin sends the head of a backend server's answer; a negative length is not known yet.
@@ -26,7 +29,7 @@
 	for name, values := range res.Header {
 		h[name] = values
 	}
-	for _, name := range hopHeaders() {
+	for _, name := range HopHeaders() {
 		h.Del(name)
 	}
 	if _, ok := h["Content-Type"]; !ok {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -243,28 +243,14 @@
 
 // takeHoldovers hands sessions on to the entry instances, which all hold a line to this instance.
 func (s *Steward) takeHoldovers(keys []uint64) {
-	var fresh []uint64
-	for _, key := range keys {
-		if !s.holdovers[key] {
-			s.holdovers[key] = true
-			fresh = append(fresh, key)
-		}
-	}
-	if len(fresh) > 0 {
+	if fresh := addNew(s.holdovers, keys); len(fresh) > 0 {
 		s.sendToEntries(messenger.Packet{Holdovers: fresh})
 	}
 }
 
 // takeCrashers hands digests of crashing requests on to all instances, once each.
 func (s *Steward) takeCrashers(digests []uint64) {
-	var fresh []uint64
-	for _, d := range digests {
-		if !s.crashers[d] {
-			s.crashers[d] = true
-			fresh = append(fresh, d)
-		}
-	}
-	if len(fresh) > 0 {
+	if fresh := addNew(s.crashers, digests); len(fresh) > 0 {
 		s.deps.Common.Log.Warn("requests crash backend servers", "digests", fresh)
 		s.sendToAll(messenger.Packet{Crashers: fresh})
 	}
@@ -294,6 +280,18 @@
 	s.sendToEntries(messenger.Packet{Control: s.control()})
 }
 
+// addNew adds keys to a set and returns those that it lacked.
+func addNew(set map[uint64]bool, keys []uint64) []uint64 {
+	var fresh []uint64
+	for _, key := range keys {
+		if !set[key] {
+			set[key] = true
+			fresh = append(fresh, key)
+		}
+	}
+	return fresh
+}
+
 func keysOf(set map[uint64]bool) []uint64 {
 	return slices.Sorted(maps.Keys(set))
 }
