Give each voter a part of the election span of its own; log roles in the record

An earlier trace blamed lost acknowledgements and a frozen machine; that was wrong. Ruled out: commits (20 ms once there is a leader), lines between control instances (they stand).

--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -340,7 +340,9 @@
 		ID: r.ID(), Role: n.Role(), Term: n.Term(), Leader: n.Leader(), Members: n.Members(), Commit: n.Commit(),
 		Lease: n.Lease(r.deps.Common.Clock.Now()),
 	}
-	r.status.Store(&s)
+	if old := r.status.Swap(&s); old == nil || old.Role != s.Role || old.Leader != s.Leader {
+		r.deps.Common.Log.Info("role in the record", "member", s.ID, "role", s.Role, "term", s.Term, "leader", s.Leader, "commit", s.Commit)
+	}
 	if s.Role != replicator.RoleLeader {
 		r.failWaiting()
 	}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -79,7 +79,7 @@
 	n.drawPatience()
 	if cfg.Leaseless {
 		n.heardAt = now - cfg.Election
-		n.patience = cfg.Election + firstPatience(cfg)
+		n.patience = cfg.Election + n.firstPatience()
 	}
 	return n
 }
@@ -271,15 +271,19 @@
 	n.out.Vote = &v
 }
 
-// drawPatience makes voters lose patience at different times.
+// drawPatience makes voters lose patience at different times: each has a part of the span of its own, so that two that
+// lose their leader at the same moment do not stand against each other even where their draws are alike.
 func (n *Node) drawPatience() {
-	n.patience = n.cfg.Election + timer.Millis(n.cfg.Random(int(n.cfg.Election)))
+	voters := slices.Sorted(slices.Values(n.members.Voters))
+	part := n.cfg.Election / timer.Millis(max(1, len(voters)))
+	rank := timer.Millis(max(0, slices.Index(voters, n.cfg.ID)))
+	n.patience = n.cfg.Election + rank*part + timer.Millis(n.cfg.Random(max(1, int(part)/2)))
 }
 
 // firstPatience is how long a member that has just started waits for a leader: it asks before it disturbs the term, so
 // that a live leader stays.
-func firstPatience(cfg Config) timer.Millis {
-	return cfg.Heartbeat + timer.Millis(cfg.Random(int(cfg.Election)/2))
+func (n *Node) firstPatience() timer.Millis {
+	return n.cfg.Heartbeat + (n.patience-n.cfg.Election)/2
 }
 
 // decodeMembers reads a membership entry, which only this package writes.
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -124,6 +124,21 @@
 	RoleLeader
 )
 
+// String prints a role for logs.
+func (r Role) String() string {
+	switch r {
+	case RoleFollower:
+		return "follower"
+	case RolePreCandidate:
+		return "pre-candidate"
+	case RoleCandidate:
+		return "candidate"
+	case RoleLeader:
+		return "leader"
+	}
+	return "unknown"
+}
+
 // Config says who a node is and how patient it is.
 type Config struct {
 	ID ID
