Reserve test ports until the process ends

Free ports were looked for, let go and used later; test programs that run at the same time draw from the same range. Ruled out: outgoing connections, which use other ports.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,6 +19,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/launcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/internal/reserver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/operator"
 	"github.com/eelgrasshook/eelgrasshook/pkg/parser"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -93,30 +92,15 @@
 	return err
 }
 
-// Ports below those that the system gives to outgoing connections, which would take a reserved one before it is used.
-const (
-	firstPort = 12_000
-	lastPort  = 31_000
-)
-
-// FreeAddresses returns loopback addresses that nobody listens on. All are held until the last is found.
+// FreeAddresses returns loopback addresses that nobody listens on and that no other fleet on this machine gets.
 func FreeAddresses(n int) ([]string, error) {
-	var addresses []string
-	port := firstPort + rand.IntN(lastPort-firstPort)
-	for tried := 0; len(addresses) < n; tried++ {
-		if tried > lastPort-firstPort {
-			return nil, trace.LimitExceeded("only %d of %d free ports", len(addresses), n)
-		}
-		port++
-		if port > lastPort {
-			port = firstPort
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+	ports, err := reserver.Ports(n)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, n)
+	for i, port := range ports {
+		addresses[i] = fmt.Sprintf("127.0.0.1:%d", port)
 	}
 	return addresses, nil
 }
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
+	"github.com/eelgrasshook/eelgrasshook/internal/reserver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -21,17 +21,6 @@
 "target_latency_ms":500,"priority":0,"service":"desk","max_attempts":2,"auth_exempt":true}],
 "services":[{"name":"desk","health_path":"/health","max_conns":10}],"limits":{"max_body_bytes":1000},"tenants":[]}`
 
-// freePort returns a port that is free on the first few loopback addresses.
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // deployment is three control instances and an entry instance on loopback addresses.
 type deployment struct {
 	t       *testing.T
@@ -44,7 +33,11 @@
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t}
-	controlPort, linkPort, callerPort := freePort(t), freePort(t), freePort(t)
+	ports, err := reserver.Ports(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	controlPort, linkPort, callerPort, readyPort := ports[0], ports[1], ports[2], ports[3]
 	at := func(n, port int) decoder.Address {
 		return decoder.Address(fmt.Sprintf("127.0.0.%d:%d", n+1, port))
 	}
@@ -72,8 +65,7 @@
 	}
 	s := base
 	s.Instance.Name, s.Instance.DataCentre = "e1", "a"
-	s.Listen.Callers, s.Listen.Ready, s.Listen.Links = at(0, callerPort), at(0, freePort(t)), at(3, linkPort)
-	var err error
+	s.Listen.Callers, s.Listen.Ready, s.Listen.Links = at(0, callerPort), at(0, readyPort), at(3, linkPort)
 	if d.entry, err = NewEntry(common, s); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/reserver/doc.go
@@ -0,0 +1,2 @@
+// Package reserver finds loopback ports for fleets that run several instances on one machine.
+package reserver
