--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -69,8 +69,8 @@
 	x.conn = nil
 }
 
-// send makes one attempt and reads the head of the answer. A kept connection that turns out dead before the server
-// can have read the request is replaced by a new one.
+// send makes one attempt and reads the head of the answer. A kept connection is used only while it is open and silent; one
+// that breaks after the request was written leaves open whether the server has run it.
 func (t *task) send(ctx context.Context, s *server, patience func(timer.Millis) bool) (*exchange, outcome) {
 	x := &exchange{server: s}
 	now := t.f.deps.Common.Clock.Now()
--- a/internal/forwarder/first_byte.go
+++ b/internal/forwarder/first_byte.go
@@ -10,6 +10,8 @@
 	// slowFactor and slowMargin say how much later than usual a first byte must come to count as slow.
 	slowFactor = 4
 	slowMargin = 400 * timer.Millisecond
+	// usualSamples is how many answers of a route must be known before one counts as slow.
+	usualSamples = 5
 )
 
 // average is a moving average.
@@ -52,12 +54,12 @@
 	f.latency.Update(int64(f.deps.Common.Clock.Now() - t.ArrivedAt))
 	a := f.firstOf(t)
 	usual, count := a.get()
-	if count > 5 && float64(took) > slowFactor*usual && took > slowMargin {
+	if count > usualSamples && float64(took) > slowFactor*usual && took > slowMargin {
 		f.note(t, s, resultSlow)
 	} else if t.route.Kind != streamKind {
 		f.note(t, s, resultGood)
 	}
-	if count > 5 && usual > 0 {
+	if count > usualSamples && usual > 0 {
 		s.first.add(float64(took) / usual)
 	}
 	a.add(min(float64(took), slowFactor*max(usual, float64(slowMargin))))
