Keep suspect requests apart between instances; let the leaving stand-in serve on

Cause 1: a request whose server went down is run alone, but each instance saw only its own suspects, so an innocent one could meet the crashing one on its second server and take the blame for both. Within one instance two suspects could be placed at the same moment, and where no server was idle any server was taken, those with suspects too. Change: instances in reach divide the servers for such runs by rendezvous hashing; the placement of a suspect counts it at once; the lowest risk is chosen (idle, busy, failing, another instance's, with a suspect). Cause 2: the stand-in closed its connections as soon as it had announced that it leaves; it now serves on for 3 s.

--- a/internal/coordinator/bills.go
+++ b/internal/coordinator/bills.go
@@ -59,11 +59,9 @@
 
 // billHolders returns instances in reach, those of the own data centre first.
 func (c *Coordinator) billHolders() []string {
-	now := c.deps.Common.Clock.Now()
 	var near, far []string
-	for _, p := range c.peers.all() {
+	for _, p := range c.reached() {
 		switch {
-		case p.Stopping || now-p.HeardAt > c.deps.Rules.Silence:
 		case p.DataCentre == c.deps.Self.DataCentre:
 			near = append(near, p.Name)
 		default:
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -76,3 +76,9 @@
 	defer p.mu.Unlock()
 	delete(p.rows, name)
 }
+
+// reached returns the other instances that were heard of lately and do not stop, in name order.
+func (c *Coordinator) reached() []PeerState {
+	now := c.deps.Common.Clock.Now()
+	return slices.DeleteFunc(c.peers.all(), func(p PeerState) bool { return p.Stopping || now-p.HeardAt > c.deps.Rules.Silence })
+}
--- a/internal/coordinator/spread.go
+++ b/internal/coordinator/spread.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
@@ -27,6 +30,17 @@
 	}
 }
 
+// Owns reports whether this instance is the one that runs suspect requests alone at a backend server: the instances in
+// reach divide the servers among them by rendezvous hashing.
+func (c *Coordinator) Owns(server string) bool {
+	own := claim(c.deps.Self.Name, server)
+	return !slices.ContainsFunc(c.reached(), func(p PeerState) bool { return claim(p.Name, server) > own })
+}
+
+func claim(instance, server string) uint64 {
+	return xxhash.Sum64String(instance + "\x00" + server)
+}
+
 // TellLeader hands on what was learned of a version on roll-out.
 func (c *Coordinator) TellLeader(j messenger.Judged) {
 	leader := c.leaderName()
--- a/internal/imitator/host.go
+++ b/internal/imitator/host.go
@@ -109,10 +109,16 @@
 	return append([]Run(nil), h.runs...)
 }
 
-// Leave announces that the stand-in leaves, waits for its work to end and stops.
+// serveOn is how long a leaving server still takes requests: the 3 s within which every instance must have stopped sending.
+const serveOn = 3 * timer.Second
+
+// Leave announces that the stand-in leaves, serves on until every instance has heard, waits for its work to end and stops.
 func (h *host) Leave(ctx context.Context) error {
 	h.leaving.Store(true)
 	h.announce()
+	if err := h.common.Clock.Sleep(ctx, serveOn); err != nil {
+		return trace.Wrap(err)
+	}
 	if err := h.server.Shutdown(ctx); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/launcher/instance.go
+++ b/internal/launcher/instance.go
@@ -183,8 +183,10 @@
 		Selector: selector.NewSelector(selector.Deps{
 			Common: i.common, Pins: pins, Quality: i.estimator.Quality, Explore: i.estimator.Explore, Halted: i.watch.Halted,
 		}),
-		Claimer:    claims,
-		Placer:     placer.NewPlacer(placer.Deps{DataCentre: s.Instance.DataCentre, Now: i.common.Clock.Now, Seed: uint64(i.incarnation)}),
+		Claimer: claims,
+		Placer: placer.NewPlacer(placer.Deps{
+			DataCentre: s.Instance.DataCentre, Now: i.common.Clock.Now, Seed: uint64(i.incarnation), Owns: i.coordinator.Owns,
+		}),
 		Send:       i.dispatcher.Send,
 		Biller:     i.store.bills,
 		Budget:     retrier.NewBudget(float64(s.Limits.RetryShare)),
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -34,13 +34,16 @@
 	Now func() timer.Millis
 	// Seed starts the random choices, so that one seed gives one run.
 	Seed uint64
+	// Owns reports whether this instance, and no other, runs requests alone at a backend server; nil means at each.
+	Owns func(server string) bool
 }
 
 // Placer chooses among backend servers.
 type Placer struct {
-	deps Deps
-	mu   sync.Mutex
-	rand *rand.Rand
+	deps  Deps
+	alone sync.Mutex
+	mu    sync.Mutex
+	rand  *rand.Rand
 }
 
 // NewPlacer returns a placer.
@@ -65,15 +68,25 @@
 	Score      float64
 	Affinity   bool
 	Candidates int
+	// alone says that the request may crash the server.
+	alone bool
 }
 
 // Release ends the count of the request on its backend server.
 func (p Placement) Release() {
+	if p.alone {
+		p.Server.Traffic.Suspects.Add(-1)
+	}
 	p.Server.Traffic.InFlight.Add(-1)
 }
 
 // Place chooses a backend server and counts the request on it; false means that none is left.
 func (p *Placer) Place(view *indexer.View, q Query) (Placement, bool) {
+	if q.Alone {
+		// Two suspects that are placed at once would not see each other.
+		p.alone.Lock()
+		defer p.alone.Unlock()
+	}
 	tier, n := p.nearest(view, q)
 	if len(tier) == 0 {
 		return Placement{}, false
@@ -86,28 +99,47 @@
 	server := &q.Servers[best.index]
 	server.Traffic.InFlight.Add(1)
 	server.Traffic.Started.Add(1)
-	return Placement{Server: server, Score: best.score, Affinity: byAffinity, Candidates: n}, true
+	if q.Alone {
+		server.Traffic.Suspects.Add(1)
+	}
+	return Placement{Server: server, Score: best.score, Affinity: byAffinity, Candidates: n, alone: q.Alone}, true
 }
 
 type candidate struct {
-	index   int
-	load    float64
-	score   float64
-	path    float64
-	suspect bool
+	index int
+	load  float64
+	score float64
+	path  float64
+	risk  risk
 }
 
+// risk says why others are to be preferred; the lower one is chosen wherever there is one.
+type risk uint8
+
+const (
+	riskNone risk = iota
+	// riskBusy: it has other work, which a request that must run alone may take down.
+	riskBusy
+	// riskFailing: it failed lately or is slow.
+	riskFailing
+	// riskShared: another instance may run a request there that crashes it.
+	riskShared
+	// riskSuspect: it runs a request that may crash it.
+	riskSuspect
+	risks
+)
+
 // free reports whether the candidate can take the request without a wait, as far as is known.
 func (c *candidate) free() bool {
-	return c.load < 1 && !c.suspect
+	return c.load < 1 && c.risk == riskNone
 }
 
-// nearest returns the free candidates with the cheapest path, or all that are not suspect, or simply all.
+// nearest returns the free candidates with the cheapest path, or all of the lowest risk.
 func (p *Placer) nearest(view *indexer.View, q Query) (tier []candidate, n int) {
 	now := p.deps.Now()
 	paths := pathScores{placer: p, view: view}
 	all := make([]candidate, 0, len(q.Servers))
-	cheapest := math.Inf(1)
+	cheapest, least := math.Inf(1), risks
 	for i := range q.Servers {
 		s := &q.Servers[i]
 		if slices.Contains(q.Tried, s.Name) {
@@ -115,29 +147,39 @@
 		}
 		path := paths.of(s.DataCentre)
 		load := Load(s, now)
-		c := candidate{index: i, load: load, score: load + path, path: path, suspect: risky(s, q, now)}
+		c := candidate{index: i, load: load, score: load + path, path: path, risk: p.riskOf(s, q, now)}
 		all = append(all, c)
+		least = min(least, c.risk)
 		if c.free() {
 			cheapest = min(cheapest, path)
 		}
 	}
 	tier = keep(all, func(c *candidate) bool { return c.free() && c.path <= cheapest })
 	if len(tier) == 0 {
-		tier = keep(all, func(c *candidate) bool { return !c.suspect })
-	}
-	if len(tier) == 0 {
-		tier = all
+		tier = keep(all, func(c *candidate) bool { return c.risk == least })
 	}
 	return tier, len(all)
 }
 
-// risky reports whether others are to be preferred: a backend server that failed lately or is slow, one that runs a request which
-// may crash it, or one with other work for a request that must run alone.
-func risky(s *registrar.BackendServer, q Query, now timer.Millis) bool {
-	if q.Alone && s.Traffic.InFlight.Load() > 0 {
-		return true
+// riskOf tells the risks of a request that must run alone apart; for all others they weigh the same.
+func (p *Placer) riskOf(s *registrar.BackendServer, q Query, now timer.Millis) risk {
+	failing := s.Slow || s.Traffic.Suspect(now)
+	suspects := s.Traffic.Suspects.Load() > 0
+	switch {
+	case !q.Alone && (failing || suspects):
+		return riskFailing
+	case !q.Alone:
+		return riskNone
+	case suspects:
+		return riskSuspect
+	case p.deps.Owns != nil && !p.deps.Owns(s.Name):
+		return riskShared
+	case failing:
+		return riskFailing
+	case s.Traffic.InFlight.Load() > 0:
+		return riskBusy
 	}
-	return s.Slow || s.Traffic.Suspect(now) || s.Traffic.Suspects.Load() > 0
+	return riskNone
 }
 
 // keep moves the wanted candidates to the front and returns them; the others stay behind them.
--- a/internal/router/model_task.go
+++ b/internal/router/model_task.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	defer m.enter(p)()
+	defer p.Release()
 	if err := m.exchange(ctx, p); err != nil {
 		m.noteFailure(ctx, p, err)
 		m.noteFault(err)
--- a/internal/router/service_task.go
+++ b/internal/router/service_task.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return claimer.Answer{}, err
 	}
-	defer s.enter(p)()
+	defer p.Release()
 	answer, err := s.exchange(ctx, p)
 	if err != nil {
 		s.noteFailure(ctx, p, err)
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -138,18 +138,6 @@
 		"two backend servers went down while they ran this request; it is not run again").WithRan(t.ranSoFar())
 }
 
-// enter counts the request on its backend server while it may crash it; the returned function ends that.
-func (t *task) enter(p placer.Placement) func() {
-	if !t.suspect {
-		return p.Release
-	}
-	p.Server.Traffic.Suspects.Add(1)
-	return func() {
-		p.Server.Traffic.Suspects.Add(-1)
-		p.Release()
-	}
-}
-
 // mayRetry reports whether another attempt is allowed after the failure.
 func (t *task) mayRetry(ctx context.Context, err error) bool {
 	var refusal *receiver.Refusal
