Leave a long prompt where it is read; its sizes go into the log of its answer

Cause: a stream that had no first event after 0.6 of its target moved to any server with little work. A prompt of tens of thousands of tokens takes the large model 2 to 5 s to read, so each escalated one was read a second time from the start: all 9 late answers among the largest tenth of consultations had three attempts and 3 to 8 s to the first event. Ruled out: hardness by size (small-model confidences are alike over all sizes), pressure (few of them were kept). Change: a prompt moves only after waiting twice as long as the other server would take to read it; a server that serves nobody else here is given the time to read before it counts as dead. Test: TestALongPromptIsNotMovedWhileItIsRead, failed first (2 requests sent, 1 wanted).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -280,6 +280,9 @@
 	if t.last != nil {
 		args = append(args, "server", t.last.Name, "version", t.last.Version)
 	}
+	if t.TokensIn > 0 {
+		args = append(args, "tokens-in", t.TokensIn, "tokens-out", t.TokensOut)
+	}
 	if t.model != "" {
 		args = append(args, "model", t.model)
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -50,6 +50,8 @@
 	if !t.route.Repeatable() {
 		return nil
 	}
+	// The prompt counts in full here: sending it makes the server look as if it held the shared parts already.
+	reading := timer.Millis(t.promptWork(s))
 	return func(since timer.Millis) bool {
 		if t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
 			return true
@@ -57,6 +59,10 @@
 		now := t.f.deps.Common.Clock.Now()
 		silent := min(since, now-timer.Millis(s.lastByte.Load()))
 		dead := max(deadAfter, t.f.expected(t)*3/2)
+		if s.running.Load() <= 1 {
+			// Nobody else is there whom the server could answer while it reads.
+			dead = max(dead, movePatience*reading)
+		}
 		return silent < dead && since < firstPatience*t.route.Target && !t.stuck(s, since, now)
 	}
 }
@@ -64,8 +70,11 @@
 const (
 	// stuckShare is the part of the target, in percent, after which a prompt that others overtake may go elsewhere.
 	stuckShare = 60
-	// stuckWork is the most work, in milliseconds, at the other server: moving must pay.
+	// stuckWork is the most work, in milliseconds, that may wait at the other server: moving must pay.
 	stuckWork = 100.0
+	// movePatience is how many times its reading at the other server a prompt waits before it is moved: what was read is
+	// lost, and reading takes longer than its length says where a prompt is very long.
+	movePatience = 2
 )
 
 // stuck reports whether a prompt waits far longer than another server would let it wait.
@@ -74,7 +83,11 @@
 		return false
 	}
 	other := t.cheapest(t.candidates(now), now, false)
-	return other != nil && other.Name != s.Name && other.work.before(t.urgency(other), now) < stuckWork
+	if other == nil || other.Name == s.Name {
+		return false
+	}
+	before := other.work.before(t.urgency(other), now)
+	return before < stuckWork && float64(since) > movePatience*(before+t.promptWork(other))
 }
 
 // takeStream sends the events of one attempt on; done says that the request needs no other attempt.
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// The pattern: a prompt of tens of thousands of tokens goes to the large model, which reads it for most of the target.
+func TestALongPromptIsNotMovedWhileItIsRead(t *testing.T) {
+	const reading = 500 * time.Millisecond
+	answer := func(_ int, r *http.Request, w io.Writer) bool {
+		time.Sleep(reading)
+		return say(w, streamHead(r.Header.Get("Id"), "")) && say(w, chunk(event(1))) && say(w, streamEnd)
+	}
+	route := stream(true)
+	route.Target = 400
+	w := newWorld(t, route, map[string]*backend{"s1": {answer: answer}, "s2": {answer: answer}})
+	w.f.paces.rows[""] = 0.01
+	rec, broken := w.serve(Request{TokensIn: 30_000})
+	if broken || rec.Body.String() != event(1) || w.total() != 1 {
+		t.Fatalf("broken off %t, got %q, %d requests sent", broken, rec.Body, w.total())
+	}
+}
+
 // The pattern: short prompts arrive while another instance has sent a long one to one of two servers.
 func TestShortPromptsAvoidAServerThatReadsALongOne(t *testing.T) {
 	answer := func(_ int, r *http.Request, w io.Writer) bool {
