Make a line again soon after a dark machine is back

Change: a connection is given up after 200 ms, and made again after a pause that grows from 50 to 250 ms.

--- a/internal/messenger/line.go
+++ b/internal/messenger/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,8 +23,12 @@
 	lineBeat = 800 * timer.Millisecond
 	// lineDial bounds the making of a line; the farthest instances are tens of milliseconds away.
 	lineDial = time.Second
-	// linePause is the time before a broken line is made again.
-	linePause = 250 * timer.Millisecond
+	// lineConnect bounds its connection alone: an opening packet that a dark machine did not get is sent again only after a
+	// second, so that a new attempt finds the machine sooner once it is back.
+	lineConnect = 200 * time.Millisecond
+	// lineFirstPause and lineMaxPause are the times before a line is made again, at first and after several failures in a row.
+	lineFirstPause = 50 * timer.Millisecond
+	lineMaxPause   = 250 * timer.Millisecond
 	// lineBuffer is the size of a line's read and write buffers, in bytes; most messages are smaller.
 	lineBuffer = 1024
 	// lineQueue is how many messages may wait on a line before it counts as dead.
@@ -129,6 +134,8 @@
 	Take   func(*Line, Packet)
 	// Greet returns what this end says of itself.
 	Greet func() Greeting
+	// Connect opens a connection to an address; nil means TCP.
+	Connect func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // serve runs a fresh connection until it breaks.
@@ -211,27 +218,43 @@
 }
 
 func (d *Dialer) runLine(ctx context.Context, address string) error {
+	pause := lineFirstPause
 	for ctx.Err() == nil {
-		if err := d.dial(ctx, address); err != nil {
+		made, err := d.dial(ctx, address)
+		if err != nil {
 			d.ends.Common.Log.Debug("line broke", "address", address, "error", err)
 		}
-		if err := d.ends.Common.Clock.Sleep(ctx, linePause); err != nil {
+		if made {
+			pause = lineFirstPause
+		}
+		if err := d.ends.Common.Clock.Sleep(ctx, pause); err != nil {
 			return nil
 		}
+		pause = min(2*pause, lineMaxPause)
 	}
 	return nil
 }
 
-func (d *Dialer) dial(ctx context.Context, address string) error {
-	dialer := websocket.Dialer{HandshakeTimeout: lineDial, ReadBufferSize: lineBuffer, WriteBufferSize: lineBuffer}
+// dial makes a line and runs it until it breaks; made says that there was one.
+func (d *Dialer) dial(ctx context.Context, address string) (made bool, err error) {
+	dialer := websocket.Dialer{HandshakeTimeout: lineDial, ReadBufferSize: lineBuffer, WriteBufferSize: lineBuffer, NetDialContext: d.connect}
 	conn, res, err := dialer.DialContext(ctx, "ws://"+address+linkPath, nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
 	_ = res.Body.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	return d.ends.serve(conn)
+	return true, d.ends.serve(conn)
+}
+
+func (d *Dialer) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, lineConnect)
+	defer cancel()
+	if d.ends.Connect != nil {
+		return d.ends.Connect(ctx, network, address)
+	}
+	return new(net.Dialer).DialContext(ctx, network, address)
 }
 
 // Stop drops every line.
