Keep the known backend servers on disk for a restart

Cause: after a loss of power of everything each control instance knew only the servers that had announced themselves since, 2 of 21 when the first policy was in force and all only 1 s later; the early ones were crowded. Change: a control instance saves its roster (whole or not at all, a second apart, on a thread of its own) and restores it; a restored server that nobody hears of within 2.6 s is silent.

--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,80 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
+)
+
+func load(t *testing.T, disk recorder.Disk) (string, bool) {
+	t.Helper()
+	var value string
+	ok, err := NewKeeper(disk).Load(&value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value, ok
+}
+
+func TestTheLastValueIsKept(t *testing.T) {
+	m := recorder.NewMemoryDisk()
+	if _, ok := load(t, m.Disk()); ok {
+		t.Fatal("an empty folder has a value")
+	}
+	k := NewKeeper(m.Disk())
+	for _, value := range []string{"one", "two", "three"} {
+		if err := k.Save(value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, _ := load(t, m.Restart().Disk()); got != "three" {
+		t.Fatalf("got %q", got)
+	}
+}
+
+func TestACrashAtAnyStepKeepsOneOfTwoValues(t *testing.T) {
+	for step := 1; ; step++ {
+		m := recorder.NewMemoryDisk()
+		k := NewKeeper(m.Disk())
+		if err := k.Save("old"); err != nil {
+			t.Fatal(err)
+		}
+		m.CrashAt = m.Steps() + step
+		err := k.Save("new")
+		if got, ok := load(t, m.Restart().Disk()); !ok || got != "old" && got != "new" || err == nil && got != "new" {
+			t.Fatalf("crash at step %d: got %q, %t after %v", step, got, ok, err)
+		}
+		if err == nil {
+			return
+		}
+	}
+}
+
+func TestADamagedFolderIsReportedAndReset(t *testing.T) {
+	m := recorder.NewMemoryDisk()
+	k := NewKeeper(m.Disk())
+	for _, value := range []string{"one", "two"} {
+		if err := k.Save(value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, err := m.Disk().List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Corrupt(names[0], 6)
+	var value string
+	damaged := NewKeeper(m.Disk())
+	if _, err := damaged.Load(&value); err == nil {
+		t.Fatalf("a damaged folder was read as %q", value)
+	}
+	if err := damaged.Reset(); err != nil {
+		t.Fatal(err)
+	}
+	if err := damaged.Save("three"); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := load(t, m.Disk()); got != "three" {
+		t.Fatalf("got %q", got)
+	}
+}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -53,8 +53,12 @@
 	if err != nil {
 		return nil, err
 	}
+	restored, save, err := rosterStore(common, settings.Data.Folder)
+	if err != nil {
+		return nil, err
+	}
 	c.steward = steward.NewSteward(steward.Deps{
-		Common: common, Seeds: seeds, Record: c.record,
+		Common: common, Seeds: seeds, Record: c.record, Restored: restored, Save: save,
 		Self: messenger.Greeting{
 			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Address: self, Member: c.record.ID(),
 		},
--- a/internal/launcher/store.go
+++ b/internal/launcher/store.go
@@ -6,7 +6,10 @@
 	"github.com/gravitational/trace"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/biller"
+	"github.com/eelgrasshook/eelgrasshook/internal/keeper"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
+	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 )
 
 // store is what an instance keeps by itself: its bills, on disk when there is a data folder.
@@ -49,3 +52,25 @@
 	}
 	return recorder.NewDisk(filepath.Join(folder, "record"))
 }
+
+// rosterStore returns the backend servers that were known before a restart and what keeps them for the next one; a roster
+// that cannot be read is left behind, since the servers announce themselves anyway.
+func rosterStore(common observer.Common, folder string) ([]registrar.Member, func([]registrar.Member) error, error) {
+	if folder == "" {
+		return nil, nil, nil
+	}
+	disk, err := recorder.NewDisk(filepath.Join(folder, "servers"))
+	if err != nil {
+		return nil, nil, err
+	}
+	k := keeper.NewKeeper(disk)
+	var restored []registrar.Member
+	if _, err := k.Load(&restored); err != nil {
+		common.Log.Warn("saved roster not read", "error", err)
+		restored = nil
+		if err := k.Reset(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return restored, func(list []registrar.Member) error { return k.Save(list) }, nil
+}
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -39,6 +39,7 @@
 
 // tell sends every instance one row of the roster.
 func (s *Steward) tell(row registrar.Member) {
+	s.unsaved = true
 	s.deps.Common.Log.Info("backend server changed", "server", row.Name, "address", row.Address, "service", row.Service,
 		"version", row.Version, "standing", row.Standing, "incarnation", row.Incarnation, "sequence", row.Sequence)
 	s.sendToAll(messenger.Packet{Members: []registrar.Member{row}})
@@ -53,12 +54,14 @@
 			changed = append(changed, row)
 		}
 	}
+	s.unsaved = s.unsaved || len(changed) > 0
 	return changed
 }
 
 // expire marks the servers that fell silent here, and forgets those that have taken no work for long.
 func (s *Steward) expire() {
 	now := s.deps.Common.Clock.Now()
+	s.expireRestored(now)
 	for name, at := range s.heard {
 		if now-at <= s.deps.Rules.Silence {
 			continue
@@ -83,6 +86,7 @@
 		} else if now-since > s.deps.Rules.Forget {
 			delete(s.idleAt, row.Name)
 			s.roster.Forget(row.Name)
+			s.unsaved = true
 		}
 	}
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -46,6 +46,10 @@
 	// Seeds are the link addresses of control instances to meet first.
 	Seeds  []string
 	Record *recorder.Record
+	// Restored are the backend servers that were known before a restart.
+	Restored []registrar.Member
+	// Save keeps the known backend servers for a restart; nil keeps nothing.
+	Save func([]registrar.Member) error
 }
 
 // Steward is one control instance; its thread owns all fields below events.
@@ -84,6 +88,11 @@
 	holdovers map[uint64]bool
 	workDue   <-chan timer.Tick
 	stopping  bool
+	restoring restoring
+	// unsaved says that the roster has changed since savedAt, when it was last handed to saves.
+	unsaved bool
+	savedAt timer.Millis
+	saves   chan []registrar.Member
 }
 
 // NewSteward returns a steward that is not started.
@@ -94,7 +103,9 @@
 		roster: registrar.NewRoster(), heard: map[string]timer.Millis{}, idleAt: map[string]timer.Millis{},
 		begun: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{}, seenAt: map[replicator.ID]timer.Millis{}, identities: map[string]replicator.ID{},
 		crashers: map[uint64]bool{}, work: map[*messenger.Line][]messenger.Work{}, toldWork: map[*messenger.Line]bool{}, holdovers: map[uint64]bool{},
+		saves: make(chan []registrar.Member),
 	}
+	s.restore(deps.Restored)
 	s.dialer = messenger.NewDialer(s.Ends())
 	return s
 }
@@ -114,6 +125,7 @@
 func (s *Steward) Start() {
 	s.tomb.Go(s.loop)
 	s.tomb.Go(s.runMembership)
+	s.tomb.Go(s.runSaves)
 }
 
 // Stop tells the others, hands leadership on and drops all lines.
@@ -173,6 +185,7 @@
 			s.tellWork()
 		case <-tick:
 			s.expire()
+			s.saveRoster(s.deps.Common.Clock.Now())
 			s.keepLines()
 			s.judgeRollOuts()
 			tick = s.deps.Common.Clock.After(dutiesEvery)
