Judge new versions by a likelihood ratio; a long prompt is no slow answer

Cause: a version was rolled back at 4 bad answers where their share was above 0.12 and twice that of the version before. Change: Wald's sequential test (a bad version fails 0.3 at least, a good one is taken for bad once in 1,000 routes); an answer is slow only where it took far longer than its prompt takes to read. Tests: two cases of TestVerdict and one of TestALongPromptIsNoSlowAnswer failed first.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -38,6 +38,8 @@
 	// urgency and work are what the request's prompt adds to the server's work until its first event.
 	urgency int
 	work    float64
+	// reading is how long the prompt takes to read, in milliseconds.
+	reading float64
 	cancel  func() bool
 	err     error
 }
@@ -85,6 +87,7 @@
 	x.conn = c
 	s.running.Add(1)
 	x.urgency, x.work = t.urgency(s), t.promptWork(s)
+	x.reading = x.work
 	s.work.add(x.urgency, x.work)
 	if x.work >= longPrompt {
 		t.f.deps.WorkGrown()
--- a/internal/forwarder/first_byte.go
+++ b/internal/forwarder/first_byte.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// slowFactor and slowMargin say how much later than usual a first byte must come to count as slow.
+	// slowFactor and slowMargin say how much later than usual, and than its prompt takes to read, a first byte must come to
+	// count as slow.
 	slowFactor = 4
 	slowMargin = 400 * timer.Millisecond
 	// usualSamples is how many answers of a route must be known before one counts as slow.
@@ -50,11 +51,12 @@
 }
 
 // noteFirst learns from the time to the first byte; slow answers count against a version on roll-out.
-func (f *Forwarder) noteFirst(t *task, s *server, took timer.Millis) {
+func (f *Forwarder) noteFirst(t *task, x *exchange, took timer.Millis) {
+	s := x.server
 	f.latency.Update(int64(f.deps.Common.Clock.Now() - t.ArrivedAt))
 	a := f.firstOf(t)
 	usual, count := a.get()
-	if count > usualSamples && float64(took) > slowFactor*usual && took > slowMargin {
+	if count > usualSamples && float64(took) > slowFactor*max(usual, x.reading) && took > slowMargin {
 		f.note(t, s, resultSlow)
 	} else if t.route.Kind != streamKind {
 		f.note(t, s, resultGood)
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -69,7 +69,7 @@
 		return true, nil
 	}
 	x.server.succeeded()
-	t.f.noteFirst(t, x.server, took)
+	t.f.noteFirst(t, x, took)
 	t.deliver(x, body, now)
 	return true, nil
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -107,7 +107,7 @@
 			"since-sent-ms", int64(t.f.deps.Common.Clock.Now()-x.sentAt), "next", t.model)
 		x.end(false)
 		x.server.succeeded()
-		t.f.noteFirst(t, x.server, t.f.deps.Common.Clock.Now()-x.sentAt)
+		t.f.noteFirst(t, x, t.f.deps.Common.Clock.Now()-x.sentAt)
 		return false, nil
 	}
 	err := t.pump(x)
@@ -152,7 +152,7 @@
 		if whole := wholeEvents(buf); whole > 0 {
 			if first {
 				first = false
-				t.f.noteFirst(t, x.server, now-x.sentAt)
+				t.f.noteFirst(t, x, now-x.sentAt)
 			}
 			if failed := t.forward(x, buf[:whole], now); failed != nil {
 				return failed
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
@@ -166,3 +167,35 @@
 		t.Fatal("a fresh session that is drawn for the new version did not get it")
 	}
 }
+
+// The pattern: a long prompt goes to the large model of a good new version, which takes seconds to read it.
+func TestALongPromptIsNoSlowAnswer(t *testing.T) {
+	tests := map[string]struct {
+		reading float64
+		took    timer.Millis
+		slow    int
+	}{
+		"as usual":                        {100, 300, 0},
+		"a short prompt takes long":       {100, 2500, 1},
+		"a long prompt takes its time":    {2000, 2500, 0},
+		"a long prompt takes far longer":  {2000, 9000, 1},
+		"a short prompt, within a margin": {1, 390, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, _, _ := rolling(t, applier.RollOutRunning, 0.3)
+			task, _ := w.f.newTask(&Request{ID: "id", Host: "h", Path: "/x"}, httptest.NewRecorder())
+			for range usualSamples + 1 {
+				w.f.firstOf(task).add(300)
+			}
+			w.f.noteFirst(task, &exchange{server: w.f.known["s2"], reading: tt.reading}, tt.took)
+			slow := 0
+			for _, o := range w.f.Outcomes() {
+				slow += o.Slow
+			}
+			if slow != tt.slow {
+				t.Fatalf("%d slow answers, want %d", slow, tt.slow)
+			}
+		})
+	}
+}
--- a/internal/steward/guard.go
+++ b/internal/steward/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
@@ -11,12 +12,18 @@
 )
 
 const (
-	// minBad and minSeen are the least bad answers and answers that a version is judged by: fewer may be chance.
-	minBad  = 4
-	minSeen = 6
-	// badFactor and badMargin say how much worse than the version before a new one may be.
-	badFactor = 2.0
-	badMargin = 0.12
+	// minBad is the least bad answers that a version is judged by.
+	minBad = 4
+	// badShare is the share of bad answers that a bad version gives at least; those of the users' days fail a third. Where the
+	// version before fails often itself, badMargin more than it does.
+	badShare  = 0.3
+	badMargin = 0.2
+	// leastBad is the least share of bad answers that is expected of a good version.
+	leastBad = 0.03
+	// mostBad keeps the share that is expected of a bad version below one.
+	mostBad = 0.95
+	// falseHalts is the chance with which a good version may be taken for a bad one on a route.
+	falseHalts = 0.001
 	// settleShare is the part of a roll-out's time after which it ends once nothing runs on the old version, in percent.
 	settleShare = 78
 	// settleReserve is the time before its limit at which a roll-out ends in any case.
@@ -36,13 +43,17 @@
 	return c.good + c.bad
 }
 
-func (c count) rate() float64 {
-	return float64(c.bad) / float64(max(1, c.seen()))
+// worse reports whether a version is clearly worse than the one before, by a sequential likelihood-ratio test (Wald).
+func (c count) worse(before count) bool {
+	return c.bad >= minBad && c.evidence(before) > -math.Log(falseHalts)
 }
 
-// worse reports whether a version is clearly worse than the one before.
-func (c count) worse(before count) bool {
-	return c.bad >= minBad && c.seen() >= minSeen && c.rate() > badFactor*before.rate()+badMargin
+// evidence is the logarithm of how much likelier the answers are from a bad version than from one as good as that before.
+func (c count) evidence(before count) float64 {
+	// One good and one bad answer more stand for what is not known of the version before.
+	good := max(leastBad, float64(before.bad+1)/float64(before.seen()+2))
+	bad := min(mostBad, max(badShare, good+badMargin))
+	return float64(c.bad)*math.Log(bad/good) - float64(c.good)*math.Log((1-good)/(1-bad))
 }
 
 // tally sums what all entry instances saw of the old and the new version, on each route and on all together.
--- a/internal/steward/guard_test.go
+++ b/internal/steward/guard_test.go
@@ -28,6 +28,19 @@
 		"the version before fails as often": {
 			before: map[string]count{"": {70, 30}}, target: map[string]count{"": {14, 6}}, elapsed: 5 * timer.Second,
 		},
+		"a few of the long prompts are slow by chance": {
+			before: map[string]count{"": {250, 23}, "r": {181, 12}}, target: map[string]count{"": {30, 5}, "r": {7, 4}}, elapsed: 12 * timer.Second,
+		},
+		"a third of the answers on one route is bad": {
+			before: map[string]count{"": {500, 23}, "r": {181, 12}}, target: map[string]count{"": {90, 12}, "r": {18, 10}},
+			elapsed: 12 * timer.Second, want: applier.RollOutRolledBack,
+		},
+		"a version that turns bad late": {
+			before: map[string]count{"": {500, 20}}, target: map[string]count{"": {70, 20}}, elapsed: 12 * timer.Second, want: applier.RollOutRolledBack,
+		},
+		"a route that the version before has hardly served": {
+			before: map[string]count{"": {500, 20}, "r": {1, 0}}, target: map[string]count{"": {50, 4}, "r": {2, 4}}, elapsed: 8 * timer.Second,
+		},
 		"requests still run on the version before": {
 			before: map[string]count{"": {100, 0}}, target: map[string]count{"": {50, 0}}, running: 3, elapsed: 16 * timer.Second,
 		},
