--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -29,7 +29,15 @@
 	}
 	rules := t.f.deps.Rules
 	c := x.verdict.Confidence
-	if c < 0 || c >= rules.Confidence || t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
+	if c < 0 || c >= rules.Confidence {
+		return false
+	}
+	if t.attempts >= t.route.MaxAttempts {
+		t.keptDoubtful(x, "no attempt is left", 0, 0)
+		return false
+	}
+	if !t.f.budget.left() {
+		t.keptDoubtful(x, "the budget for repeats is spent", 0, 0)
 		return false
 	}
 	small, tried := t.model, t.tried
@@ -40,13 +48,27 @@
 	t.tried = map[string]bool{}
 	now := t.f.deps.Common.Clock.Now()
 	best := t.cheapest(t.candidates(now), now, false)
-	if best != nil && t.worthAsking(best, c, now) {
-		return true
+	wait, load := 0.0, 0.0
+	if best != nil {
+		wait = best.work.before(t.urgency(best), now) + t.promptWork(best)
+		load = float64(best.load(now)) / float64(max(1, best.Slots))
+		if t.worthAsking(wait, load, c, now) {
+			return true
+		}
 	}
 	t.model, t.tried = small, tried
+	t.keptDoubtful(x, "the larger model is too busy", wait, load)
 	return false
 }
 
+// keptDoubtful logs why an answer of little confidence is passed on: the wait, in milliseconds, and the share of slots
+// taken at the server that a larger model would have been asked at.
+func (t *task) keptDoubtful(x *exchange, reason string, wait, load float64) {
+	t.f.deps.Common.Counter("requests.doubtful-kept").Inc(1)
+	t.f.deps.Common.Log.Info("doubtful answer kept", "request", t.ID, "server", x.server.Name, "model", t.model,
+		"confidence", x.verdict.Confidence, "attempts", t.attempts, "reason", reason, "wait-ms", int64(wait), "load-percent", int(load*100))
+}
+
 // busyWeight is how many points less confidence is asked for at a server whose slots are all taken, against one with
 // easyLoad of them taken: each further stream slows all others.
 const (
@@ -57,13 +79,13 @@
 // pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
 const pressureWeight = 50.0
 
-// worthAsking reports whether the larger model's answer is worth its wait at a server.
-func (t *task) worthAsking(s *server, confidence int, now timer.Millis) bool {
-	wait := s.work.before(t.urgency(s), now) + t.promptWork(s)
+// worthAsking reports whether the larger model's answer is worth its wait, in milliseconds, at a server of which the given
+// share of the slots is taken.
+func (t *task) worthAsking(wait, load float64, confidence int, now timer.Millis) bool {
 	if now+timer.Millis(wait) >= t.deadline {
 		return false
 	}
-	busy := max(0, float64(s.load(now))/float64(max(1, s.Slots))-easyLoad)
+	busy := max(0, load-easyLoad)
 	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target)) - busyWeight*busy
 	return float64(confidence) < asked
 }
