--- a/internal/recorder/journal.go
+++ b/internal/recorder/journal.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 
@@ -23,9 +24,14 @@
 	file         File
 	size         int
 	bytes        int
-	broken       error
+	// inBase says that the file is a base file.
+	inBase bool
+	broken error
 }
 
+// ErrNotWritten says that the disk took nothing, for instance because it is full; the journal is as before.
+var ErrNotWritten = errors.New("the disk took nothing")
+
 // OpenJournal reads every payload in order into replay, cuts a torn tail and returns the journal ready to append.
 func OpenJournal(disk Disk, replay func([]byte) error) (*Journal, error) {
 	j := &Journal{disk: disk, segmentBytes: defaultSegmentBytes}
@@ -121,15 +127,27 @@
 		return err
 	}
 	j.file = file
+	j.inBase = strings.HasSuffix(live[len(live)-1], baseSuffix)
 	return nil
 }
 
+// createError says that a file could not be made, which leaves everything as it was.
+type createError struct {
+	err error
+}
+
+// Error prints the disk's error.
+func (e *createError) Error() string { return e.err.Error() }
+
+// Unwrap returns the disk's error.
+func (e *createError) Unwrap() error { return e.err }
+
 // roll starts the next file; its name lasts before anything in it is relied on.
 func (j *Journal) roll() error {
 	name := fmt.Sprintf("%016d%s", j.number+1, logSuffix)
 	file, err := j.disk.Create(name)
 	if err != nil {
-		return err
+		return &createError{err}
 	}
 	if err := j.disk.SyncFolder(); err != nil {
 		return err
@@ -141,25 +159,35 @@
 	}
 	j.number++
 	j.file = file
+	j.inBase = false
 	j.size = 0
 	return nil
 }
 
-// Append writes the payloads and syncs them together; after an error the journal takes no more.
+// Append writes the payloads and syncs them together; after an error other than ErrNotWritten the journal takes no more.
 func (j *Journal) Append(payloads ...[]byte) error {
+	return j.guard(func() error { return j.append(payloads) })
+}
+
+// guard keeps a journal whose state on the disk is unknown from being used further.
+func (j *Journal) guard(change func() error) error {
 	if j.broken != nil {
 		return j.broken
 	}
-	if err := j.append(payloads); err != nil {
+	err := change()
+	if err != nil && !errors.Is(err, ErrNotWritten) {
 		j.broken = trace.Wrap(err, "the journal failed and must be opened again")
 		return j.broken
 	}
-	return nil
+	return err
 }
 
 func (j *Journal) append(payloads [][]byte) error {
 	if j.size >= j.segmentBytes {
-		if err := j.roll(); err != nil {
+		var failed *createError
+		if err := j.roll(); errors.As(err, &failed) {
+			return fmt.Errorf("%w: %w", ErrNotWritten, err)
+		} else if err != nil {
 			return err
 		}
 	}
@@ -171,7 +199,7 @@
 		buf = appendFrame(buf, p)
 	}
 	if _, err := j.file.Write(buf); err != nil {
-		return err
+		return j.undo(err)
 	}
 	if err := j.file.Sync(); err != nil {
 		return err
@@ -181,16 +209,31 @@
 	return nil
 }
 
-// Rebase replaces everything so far by the given payloads, whole or not at all.
-func (j *Journal) Rebase(payloads ...[]byte) error {
-	if j.broken != nil {
-		return j.broken
+// undo cuts off what a failed write may have left, and opens the file anew at its end.
+func (j *Journal) undo(failure error) error {
+	name := j.name()
+	if err := errors.Join(j.file.Close(), j.disk.Truncate(name, int64(j.size))); err != nil {
+		return errors.Join(failure, err)
 	}
-	if err := j.rebase(payloads); err != nil {
-		j.broken = trace.Wrap(err, "the journal failed and must be opened again")
-		return j.broken
+	file, err := j.disk.Append(name)
+	if err != nil {
+		return errors.Join(failure, err)
 	}
-	return nil
+	j.file = file
+	return fmt.Errorf("%w: %w", ErrNotWritten, failure)
+}
+
+// name returns the file that is written to: a journal that was just opened may go on in a base file.
+func (j *Journal) name() string {
+	if j.inBase {
+		return fmt.Sprintf("%016d%s", j.number, baseSuffix)
+	}
+	return fmt.Sprintf("%016d%s", j.number, logSuffix)
+}
+
+// Rebase replaces everything so far by the given payloads, whole or not at all; its errors are those of Append.
+func (j *Journal) Rebase(payloads ...[]byte) error {
+	return j.guard(func() error { return j.rebase(payloads) })
 }
 
 func (j *Journal) rebase(payloads [][]byte) error {
@@ -204,6 +247,7 @@
 	}
 	j.number++
 	j.bytes = len(buf)
+	// The new base is there: going on in the old file would lose what is appended, so that no error here is ErrNotWritten.
 	if err := j.roll(); err != nil {
 		return err
 	}
@@ -215,10 +259,12 @@
 	temp := name + tempSuffix
 	f, err := j.disk.Create(temp)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
 	if _, err := f.Write(data); err != nil {
-		return err
+		// The name is free again for the next attempt; a file that stays is removed when the journal is opened.
+		_, _ = f.Close(), j.disk.Remove(temp)
+		return fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
 	if err := f.Sync(); err != nil {
 		return err
--- a/internal/recorder/journal_test.go
+++ b/internal/recorder/journal_test.go
@@ -128,6 +128,61 @@
 	}
 }
 
+// The pattern: a full disk refuses writes, in part at first, and has room again after a while.
+func TestJournalGoesOnOnceAFullDiskHasRoom(t *testing.T) {
+	m := NewMemoryDisk()
+	disk, full := m.Disk(), false
+	noRoom := errors.New("no space left")
+	limit := func(open func(string) (File, error), makes bool) func(string) (File, error) {
+		return func(name string) (File, error) {
+			if full && makes {
+				return File{}, noRoom
+			}
+			f, err := open(name)
+			write := f.Write
+			f.Write = func(p []byte) (int, error) {
+				if !full {
+					return write(p)
+				}
+				n, _ := write(p[:len(p)/2])
+				return n, noRoom
+			}
+			return f, err
+		}
+	}
+	disk.Create, disk.Append = limit(disk.Create, true), limit(disk.Append, false)
+	j, _, err := openAll(disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j = j.WithSegmentBytes(60)
+	var want []string
+	for i := range 12 {
+		full = true
+		if err := j.Append([]byte("lost")); !errors.Is(err, ErrNotWritten) {
+			t.Fatalf("append %d on a full disk: %v", i, err)
+		}
+		if err := j.Rebase([]byte("lost")); !errors.Is(err, ErrNotWritten) {
+			t.Fatalf("rebase %d on a full disk: %v", i, err)
+		}
+		full = false
+		if err := j.Append([]byte(entry(i))); err != nil {
+			t.Fatalf("append %d with room again: %v", i, err)
+		}
+		want = append(want, entry(i))
+		if i%3 == 2 {
+			if err := j.Close(); err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			if j, got, err = openAll(disk); err != nil || !slices.Equal(got, want) {
+				t.Fatalf("opened again: %q, %v, want %q", got, err, want)
+			}
+			j = j.WithSegmentBytes(60)
+		}
+	}
+}
+
 func FuzzReadFrames(f *testing.F) {
 	f.Add(appendFrame(appendFrame(nil, []byte("one")), []byte("two")))
 	f.Add([]byte{0xE9, 0x5A, 255, 255, 255, 255})
--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -282,7 +282,7 @@
 func (r *Record) settle() error {
 	for out := r.node.Take(); !out.Empty(); out = r.node.Take() {
 		if out.Writes() {
-			if err := r.store.write(out); err != nil {
+			if err := r.write(out); err != nil {
 				return err
 			}
 		}
@@ -298,6 +298,32 @@
 	return r.compact()
 }
 
+// writeRetry is the time between attempts to write to a disk that takes nothing.
+const writeRetry = 100 * timer.Millisecond
+
+// write makes the effects durable. While the disk takes nothing the thread waits, as it does for a slow disk: the others
+// elect another leader, and this member goes on once there is room.
+func (r *Record) write(out replicator.Effects) error {
+	err := r.store.write(out)
+	if !errors.Is(err, ErrNotWritten) {
+		return err
+	}
+	began := r.deps.Common.Clock.Now()
+	r.deps.Common.Log.Error("record waits: its disk takes nothing", "error", err)
+	for errors.Is(err, ErrNotWritten) {
+		select {
+		case <-r.deps.Common.Clock.After(writeRetry):
+		case <-r.tomb.Dying():
+			return err
+		}
+		err = r.store.write(out)
+	}
+	if err == nil {
+		r.deps.Common.Log.Info("record goes on: its disk takes data again", "waited-ms", int64(r.deps.Common.Clock.Now()-began))
+	}
+	return err
+}
+
 func (r *Record) apply(out replicator.Effects) error {
 	if out.Restore != nil {
 		if err := r.state.Restore(out.Restore.State); err != nil {
@@ -369,7 +395,13 @@
 	if out := r.node.Take(); out.Snapshot == nil {
 		return nil
 	}
-	if err := r.store.rebase(r.node.Stored()); err != nil {
+	err = r.store.rebase(r.node.Stored())
+	if errors.Is(err, ErrNotWritten) {
+		// The longer journal holds the same; the next attempt comes once it has grown further.
+		r.deps.Common.Log.Warn("journal not rewritten", "bytes", r.store.journal.Bytes(), "error", err)
+		err = nil
+	}
+	if err != nil {
 		return err
 	}
 	r.baseBytes = r.store.journal.Bytes()
