Serve a request that a new version fails by the version before

Change: after a failure at the target the next attempt goes to the version before, unless the session runs on the target or part of the stream is out. Test: TestARequestThatANewVersionFailsIsServedByTheOldOne failed first (14 of 200 not served).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -149,6 +149,9 @@
 	confidence int
 	// version binds a stream that has begun to the version that began it.
 	version string
+	// bound says that the session runs on the target of a roll-out; shunned is a target that has failed the request.
+	bound   bool
+	shunned string
 	last    *server
 	writer  *writer
 }
--- a/internal/forwarder/versions.go
+++ b/internal/forwarder/versions.go
@@ -16,6 +16,9 @@
 	if t.version == "" {
 		t.version = t.chooseVersion(now, v)
 	}
+	if t.version == t.shunned {
+		t.version = v.stable[0].Version
+	}
 	if t.version == v.running.Target {
 		return v.target
 	}
@@ -37,6 +40,7 @@
 	early := progress < sessionsMove
 	switch {
 	case pinned && p.version == target:
+		t.bound = true
 		return target
 	case now-v.running.Begun < holdSpan:
 		return old
@@ -50,6 +54,16 @@
 	return old
 }
 
+// noteBad counts a failure at a server; a request that the target of a roll-out has failed goes on at the version before,
+// unless its session runs on the target.
+func (t *task) noteBad(s *server) {
+	t.f.note(t, s, resultBad)
+	running := t.pic.versionsOf(s.Service).running
+	if running != nil && s.Version == running.Target && !t.bound && t.writer.status == 0 {
+		t.shunned = s.Version
+	}
+}
+
 // sessionsMove is the part of a roll-out before which no session changes its version; a margin over one half, because
 // instances learn of the start at different times.
 const sessionsMove = 0.53
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -199,3 +199,36 @@
 		})
 	}
 }
+
+// The pattern: a bad version fails every request during its roll-out, before the leader has judged it.
+func TestARequestThatANewVersionFailsIsServedByTheOldOne(t *testing.T) {
+	w, old, target := rolling(t, applier.RollOutRunning, 0.1)
+	target.answer = func(_ int, r *http.Request, w io.Writer) bool {
+		return say(w, "HTTP/1.1 500 Oops\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	const requests = 200
+	for n := range requests {
+		if rec, _ := w.serve(Request{ID: fmt.Sprintf("id-%d", n), Session: fmt.Sprintf("session-%d", n)}); rec.Code != http.StatusOK {
+			t.Errorf("request %d: status %d", n, rec.Code)
+		}
+	}
+	if len(target.requests()) == 0 || len(old.requests()) != requests {
+		t.Errorf("the new version got %d requests, the old one %d, want some and %d", len(target.requests()), len(old.requests()), requests)
+	}
+}
+
+func TestASessionOnTheNewVersionStaysThereWhenItFails(t *testing.T) {
+	w, old, target := rolling(t, applier.RollOutRunning, 0.1)
+	w.f.sessions.set("s", pin{service: "s", version: "v2", server: "s2", at: w.f.deps.Common.Clock.Now()})
+	target.answer = func(n int, r *http.Request, w io.Writer) bool {
+		status := "200 OK"
+		if n == 1 {
+			status = "500 Oops"
+		}
+		return say(w, "HTTP/1.1 "+status+"\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	w.serve(Request{ID: "id", Session: "s"})
+	if len(old.requests()) != 0 {
+		t.Error("the session went back to the old version")
+	}
+}
