--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -57,7 +57,7 @@
 		}
 	}
 	t.model, t.tried = small, tried
-	t.keptDoubtful(x, "the larger model is too busy", wait, load)
+	t.keptDoubtful(x, "the wait at the larger model outweighs the doubt", wait, load)
 	return false
 }
 
