Count a crash once against a version; ask for a third more failures

Change: connections that a server breaks within 2 s count as one bad answer at an instance; a bad version is one that fails 0.3 more often than the one before (the users' bad versions fail a third), in place of 0.3 in all. Tests: a case of TestVerdict failed first; TestACrashCountsOnceAgainstAVersion.

--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -52,7 +52,7 @@
 	if err != nil || len(body) > maxAnswer || x.res.Header.Get("Content-Encoding") != "" {
 		t.ran = true
 		x.server.failed(now, true)
-		t.noteBad(x.server)
+		t.noteBroken(x.server, now)
 		t.f.deps.Common.Log.Warn("answer not whole", "request", t.ID, "server", x.server.Name, "error", err, "bytes", len(body))
 		return !t.mayRepeat(), t.lost("the backend server's answer broke off")
 	}
@@ -107,7 +107,7 @@
 		t.ran = true
 		if ctx.Err() == nil {
 			x.server.failed(now, true)
-			t.noteBad(x.server)
+			t.noteBroken(x.server, now)
 			t.strike(ctx, x.server)
 		}
 	}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -45,6 +45,8 @@
 	work    work
 	// lastByte is when anything was last read from it, in milliseconds.
 	lastByte atomic.Int64
+	// brokeAt is when the last incident of broken connections began, in milliseconds.
+	brokeAt atomic.Int64
 
 	mu sync.Mutex
 	// reported is the load that the server told, and ownThen how many own requests ran there at that time.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -123,7 +123,7 @@
 		return true, t.expired()
 	}
 	x.server.failed(now, true)
-	t.noteBad(x.server)
+	t.noteBroken(x.server, now)
 	t.f.deps.Common.Log.Info("stream broke", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
 		"last-event", t.LastEvent, "error", err, "after-ms", int64(now-x.sentAt))
 	if t.mayRepeat() {
--- a/internal/forwarder/versions.go
+++ b/internal/forwarder/versions.go
@@ -54,10 +54,31 @@
 	return old
 }
 
-// noteBad counts a failure at a server; a request that the target of a roll-out has failed goes on at the version before,
-// unless its session runs on the target.
+// incidentSpan is how long the connections that a server breaks count as one incident: a crash and what was sent to the
+// server before that was noticed.
+const incidentSpan = 2 * timer.Second
+
+// noteBroken counts a broken connection, once for each incident at the server: a crash says little of its version, however
+// many requests ran there.
+func (t *task) noteBroken(s *server, now timer.Millis) {
+	last := timer.Millis(s.brokeAt.Load())
+	if now-last < incidentSpan {
+		t.shun(s)
+		return
+	}
+	s.brokeAt.Store(int64(now))
+	t.noteBad(s)
+}
+
+// noteBad counts a failure at a server.
 func (t *task) noteBad(s *server) {
 	t.f.note(t, s, resultBad)
+	t.shun(s)
+}
+
+// shun lets a request that the target of a roll-out has failed go on at the version before, unless its session runs on the
+// target.
+func (t *task) shun(s *server) {
 	running := t.pic.versionsOf(s.Service).running
 	if running != nil && s.Version == running.Target && !t.bound && t.writer.status == 0 {
 		t.shunned = s.Version
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -232,3 +232,35 @@
 		t.Error("the session went back to the old version")
 	}
 }
+
+// The pattern: a server crashes, and all that ran there breaks off at the same moment.
+func TestACrashCountsOnceAgainstAVersion(t *testing.T) {
+	tests := map[string]struct {
+		failures int
+		apart    timer.Millis
+		bad      int
+	}{
+		"one failure":                  {1, 0, 1},
+		"many at the same moment":      {12, 0, 1},
+		"some, each a while after":     {3, incidentSpan, 3},
+		"a crash that takes its time":  {10, incidentSpan / 20, 1},
+		"two crashes within some time": {2, 2 * incidentSpan, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, _, _ := rolling(t, applier.RollOutRunning, 0.3)
+			now := w.f.deps.Common.Clock.Now()
+			task, _ := w.f.newTask(&Request{ID: "id", Host: "h", Path: "/x"}, httptest.NewRecorder())
+			for n := range tt.failures {
+				task.noteBroken(w.f.known["s2"], now+timer.Millis(n)*tt.apart)
+			}
+			bad := 0
+			for _, o := range w.f.Outcomes() {
+				bad += o.Bad
+			}
+			if bad != tt.bad {
+				t.Fatalf("%d bad answers, want %d", bad, tt.bad)
+			}
+		})
+	}
+}
--- a/internal/steward/guard.go
+++ b/internal/steward/guard.go
@@ -14,10 +14,8 @@
 const (
 	// minBad is the least bad answers that a version is judged by.
 	minBad = 4
-	// badShare is the share of bad answers that a bad version gives at least; those of the users' days fail a third. Where the
-	// version before fails often itself, badMargin more than it does.
-	badShare  = 0.3
-	badMargin = 0.2
+	// badMargin is how much more often than the version before a bad one fails: those of the users' days fail a third.
+	badMargin = 0.3
 	// leastBad is the least share of bad answers that is expected of a good version.
 	leastBad = 0.03
 	// mostBad keeps the share that is expected of a bad version below one.
@@ -52,7 +50,7 @@
 func (c count) evidence(before count) float64 {
 	// One good and one bad answer more stand for what is not known of the version before.
 	good := max(leastBad, float64(before.bad+1)/float64(before.seen()+2))
-	bad := min(mostBad, max(badShare, good+badMargin))
+	bad := min(mostBad, good+badMargin)
 	return float64(c.bad)*math.Log(bad/good) - float64(c.good)*math.Log((1-good)/(1-bad))
 }
 
--- a/internal/steward/guard_test.go
+++ b/internal/steward/guard_test.go
@@ -38,6 +38,9 @@
 		"a version that turns bad late": {
 			before: map[string]count{"": {500, 20}}, target: map[string]count{"": {70, 20}}, elapsed: 12 * timer.Second, want: applier.RollOutRolledBack,
 		},
+		"servers of the new version crashed more by chance": {
+			before: map[string]count{"": {1312, 182}}, target: map[string]count{"": {114, 38}}, elapsed: 12 * timer.Second,
+		},
 		"a route that the version before has hardly served": {
 			before: map[string]count{"": {500, 20}, "r": {1, 0}}, target: map[string]count{"": {50, 4}, "r": {2, 4}}, elapsed: 8 * timer.Second,
 		},
