Ask the large model for the longest prompts too

Change: reading takes at most 20 points off the confidence that is asked for; the queue counts as before. The log tells both. Test: TestALongPromptIsAskedAgainThoughItWillBeLate failed first.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -33,11 +33,11 @@
 		return false
 	}
 	if t.attempts >= t.route.MaxAttempts {
-		t.keptDoubtful(x, "no attempt is left", 0, 0)
+		t.keptDoubtful(x, "no attempt is left", ask{})
 		return false
 	}
 	if !t.f.budget.left() {
-		t.keptDoubtful(x, "the budget for repeats is spent", 0, 0)
+		t.keptDoubtful(x, "the budget for repeats is spent", ask{})
 		return false
 	}
 	small, tried := t.model, t.tried
@@ -48,25 +48,32 @@
 	t.tried = map[string]bool{}
 	now := t.f.deps.Common.Clock.Now()
 	best := t.cheapest(t.candidates(now), now, false)
-	wait, load := 0.0, 0.0
+	var a ask
 	if best != nil {
-		wait = best.work.before(t.urgency(best), now) + t.promptWork(best)
-		load = float64(best.load(now)) / float64(max(1, best.Slots))
-		if t.worthAsking(wait, load, c, now) {
+		a = ask{
+			queue: best.work.before(t.urgency(best), now), reading: t.promptWork(best),
+			load: float64(best.load(now)) / float64(max(1, best.Slots)),
+		}
+		if t.worthAsking(a, c, now) {
 			return true
 		}
 	}
 	t.model, t.tried = small, tried
-	t.keptDoubtful(x, "the wait at the larger model outweighs the doubt", wait, load)
+	t.keptDoubtful(x, "the wait at the larger model outweighs the doubt", a)
 	return false
 }
 
-// keptDoubtful logs why an answer of little confidence is passed on: the wait, in milliseconds, and the share of slots
-// taken at the server that a larger model would have been asked at.
-func (t *task) keptDoubtful(x *exchange, reason string, wait, load float64) {
+// ask is what asking a larger model at a server means: the work that waits there and the reading of the prompt, in
+// milliseconds, and the share of slots taken.
+type ask struct {
+	queue, reading, load float64
+}
+
+// keptDoubtful logs why an answer of little confidence is passed on.
+func (t *task) keptDoubtful(x *exchange, reason string, a ask) {
 	t.f.deps.Common.Counter("requests.doubtful-kept").Inc(1)
 	t.f.deps.Common.Log.Info("doubtful answer kept", "request", t.ID, "server", x.server.Name, "model", t.model,
-		"confidence", x.verdict.Confidence, "attempts", t.attempts, "reason", reason, "wait-ms", int64(wait), "load-percent", int(load*100))
+		"confidence", x.verdict.Confidence, "attempts", t.attempts, "reason", reason, "wait-ms", int64(a.queue), "reading-ms", int64(a.reading), "load-percent", int(a.load*100))
 }
 
 // busyWeight is how many points less confidence is asked for at a server whose slots are all taken, against one with
@@ -76,16 +83,21 @@
 	easyLoad   = 0.35
 )
 
-// pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
-const pressureWeight = 50.0
+const (
+	// pressureWeight is how many points less confidence is asked for when a larger model would take the whole time target.
+	pressureWeight = 50.0
+	// maxReadingPressure bounds that for the reading of the prompt: a late answer that is right is still worth more than one
+	// that is most likely wrong.
+	maxReadingPressure = 20.0
+)
 
-// worthAsking reports whether the larger model's answer is worth its wait, in milliseconds, at a server of which the given
-// share of the slots is taken.
-func (t *task) worthAsking(wait, load float64, confidence int, now timer.Millis) bool {
-	if now+timer.Millis(wait) >= t.deadline {
+// worthAsking reports whether the larger model's answer is worth its wait.
+func (t *task) worthAsking(a ask, confidence int, now timer.Millis) bool {
+	if now+timer.Millis(a.queue+a.reading) >= t.deadline {
 		return false
 	}
-	busy := max(0, load-easyLoad)
-	asked := float64(t.f.deps.Rules.Confidence) - pressureWeight*wait/float64(max(1, t.route.Target)) - busyWeight*busy
+	target := float64(max(1, t.route.Target))
+	asked := float64(t.f.deps.Rules.Confidence) - busyWeight*max(0, a.load-easyLoad)
+	asked -= pressureWeight*a.queue/target + min(maxReadingPressure, pressureWeight*a.reading/target)
 	return float64(confidence) < asked
 }
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -189,3 +189,23 @@
 		})
 	}
 }
+
+// The pattern: the longest prompts, which the large model reads for the whole target; their callers would rather wait.
+func TestALongPromptIsAskedAgainThoughItWillBeLate(t *testing.T) {
+	answer := func(_ int, r *http.Request, w io.Writer) bool {
+		confidence := "Confidence: 99\r\n"
+		if r.Header.Get("Model") == "small" {
+			confidence = "Confidence: 12\r\n"
+		}
+		return say(w, streamHead(r.Header.Get("Id"), confidence)) && say(w, chunk(event(1))) && say(w, streamEnd)
+	}
+	b := &backend{answer: answer}
+	route := stream(true)
+	route.Models = []string{"small", "large"}
+	w := newWorld(t, route, map[string]*backend{"s1": b})
+	w.f.paces.rows["large"] = 0.05
+	w.serve(Request{AnyModel: true, TokensIn: 20_000})
+	if n := len(b.requests()); n != 2 || b.requests()[1].Header.Get("Model") != "large" {
+		t.Fatalf("%d requests sent, want one to each model", n)
+	}
+}
