Prompts that wait behind others are no sign of a dead server

Change: the time that such a server is given counts the work that waits there too. Test: TestAPromptBehindOthersIsNoSignOfADeadServer failed first.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	// The prompt counts in full here: sending it makes the server look as if it held the shared parts already.
-	reading := timer.Millis(t.promptWork(s))
+	wait := timer.Millis(s.work.before(t.urgency(s), t.f.deps.Common.Clock.Now()) + t.promptWork(s))
 	return func(since timer.Millis) bool {
 		if t.attempts >= t.route.MaxAttempts || !t.f.budget.left() {
 			return true
@@ -61,7 +61,7 @@
 		dead := max(deadAfter, t.f.expected(t)*3/2)
 		if s.running.Load() <= 1 {
 			// Nobody else is there whom the server could answer while it reads.
-			dead = max(dead, movePatience*reading)
+			dead = max(dead, movePatience*wait)
 		}
 		return silent < dead && since < firstPatience*t.route.Target && !t.stuck(s, since, now)
 	}
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -209,3 +209,19 @@
 		t.Fatalf("%d requests sent, want one to each model", n)
 	}
 }
+
+// The pattern: a prompt waits behind those that other instances have sent to the same server, which serves nobody else here.
+func TestAPromptBehindOthersIsNoSignOfADeadServer(t *testing.T) {
+	answer := func(_ int, r *http.Request, w io.Writer) bool {
+		time.Sleep((deadAfter + 200*timer.Millisecond).Duration())
+		return say(w, streamHead(r.Header.Get("Id"), "")) && say(w, chunk(event(1))) && say(w, streamEnd)
+	}
+	w := newWorld(t, stream(true), map[string]*backend{"s1": {answer: answer}, "s2": {answer: answer}})
+	for _, s := range w.f.known {
+		s.work.hear([]float64{800}, w.f.deps.Common.Clock.Now())
+	}
+	rec, broken := w.serve(Request{TokensIn: 300})
+	if broken || rec.Body.String() != event(1) || w.total() != 1 {
+		t.Fatalf("broken off %t, got %q, %d requests sent", broken, rec.Body, w.total())
+	}
+}
