Only the instance that heard a server last may call it silent

Change: silence is declared only where no later announcement is known; an instance that hears of a server contradicts; of a restored roster an instance watches only over servers that announced themselves to it.

--- a/internal/launcher/store.go
+++ b/internal/launcher/store.go
@@ -9,7 +9,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/keeper"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
-	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/internal/steward"
 )
 
 // store is what an instance keeps by itself: its bills, on disk when there is a data folder.
@@ -55,22 +55,22 @@
 
 // rosterStore returns the backend servers that were known before a restart and what keeps them for the next one; a roster
 // that cannot be read is left behind, since the servers announce themselves anyway.
-func rosterStore(common observer.Common, folder string) ([]registrar.Member, func([]registrar.Member) error, error) {
+func rosterStore(common observer.Common, folder string) (steward.SavedRoster, func(steward.SavedRoster) error, error) {
+	var restored steward.SavedRoster
 	if folder == "" {
-		return nil, nil, nil
+		return restored, nil, nil
 	}
 	disk, err := recorder.NewDisk(filepath.Join(folder, "servers"))
 	if err != nil {
-		return nil, nil, err
+		return restored, nil, err
 	}
 	k := keeper.NewKeeper(disk)
-	var restored []registrar.Member
 	if _, err := k.Load(&restored); err != nil {
 		common.Log.Warn("saved roster not read", "error", err)
-		restored = nil
+		restored = steward.SavedRoster{}
 		if err := k.Reset(); err != nil {
-			return nil, nil, err
+			return restored, nil, err
 		}
 	}
-	return restored, func(list []registrar.Member) error { return k.Save(list) }, nil
+	return restored, func(saved steward.SavedRoster) error { return k.Save(saved) }, nil
 }
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -5,22 +5,31 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // Announce takes in what a backend server says of itself; the error says that the instance is stopping.
 func (s *Steward) Announce(ctx context.Context, m registrar.Member) error {
-	return s.do(ctx, func() {
-		_, heard := s.heard[m.Name]
-		news, changed := s.roster.Merge(m)
-		if !news {
-			s.deps.Common.Log.Debug("late announcement ignored", "server", m.Name, "incarnation", m.Incarnation, "sequence", m.Sequence)
-			return
-		}
-		s.heard[m.Name] = s.deps.Common.Clock.Now()
-		if row, _ := s.roster.Row(m.Name); changed || !heard {
-			s.tell(row)
-		}
-	})
+	return s.do(ctx, func() { s.announce(m) })
+}
+
+// hearing is the last announcement of a backend server that came to this instance itself.
+type hearing struct {
+	at       timer.Millis
+	sequence int64
+}
+
+func (s *Steward) announce(m registrar.Member) {
+	_, heard := s.heard[m.Name]
+	news, changed := s.roster.Merge(m)
+	if !news {
+		s.deps.Common.Log.Debug("late announcement ignored", "server", m.Name, "incarnation", m.Incarnation, "sequence", m.Sequence)
+		return
+	}
+	s.heard[m.Name] = hearing{at: s.deps.Common.Clock.Now(), sequence: m.Sequence}
+	if row, _ := s.roster.Row(m.Name); changed || !heard {
+		s.tell(row)
+	}
 }
 
 // Withdraw takes in that a backend server leaves or has left; an incarnation of 0 stands for the newest one.
@@ -58,17 +67,33 @@
 	return changed
 }
 
+// contradict tells everybody of servers that another instance holds for silent, though they announce themselves here: the
+// others learn of each server's later announcements only where something has changed.
+func (s *Steward) contradict(list []registrar.Member) {
+	for _, m := range list {
+		h, heard := s.heard[m.Name]
+		row, ok := s.roster.Row(m.Name)
+		if m.Standing != registrar.StandingSilent || !heard || !ok || s.deps.Common.Clock.Now()-h.at > s.deps.Rules.Silence {
+			continue
+		}
+		if row.Incarnation == m.Incarnation && row.Sequence > m.Sequence && row.Standing == registrar.StandingServing {
+			s.tell(row)
+		}
+	}
+}
+
 // expire marks the servers that fell silent here, and forgets those that have taken no work for long.
 func (s *Steward) expire() {
 	now := s.deps.Common.Clock.Now()
 	s.expireRestored(now)
-	for name, at := range s.heard {
-		if now-at <= s.deps.Rules.Silence {
+	for name, h := range s.heard {
+		if now-h.at <= s.deps.Rules.Silence {
 			continue
 		}
 		delete(s.heard, name)
 		row, ok := s.roster.Row(name)
-		if !ok || row.Standing != registrar.StandingServing {
+		if !ok || row.Standing != registrar.StandingServing || row.Sequence > h.sequence {
+			// A later announcement came to another instance, which watches over the server now.
 			continue
 		}
 		row.Standing = registrar.StandingSilent
--- a/internal/steward/restore.go
+++ b/internal/steward/restore.go
@@ -1,6 +1,9 @@
 package steward
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -12,7 +15,14 @@
 	restoreSpan = 2600 * timer.Millisecond
 )
 
-// restoring are the servers that were known before the restart and have not announced themselves since.
+// SavedRoster is what a control instance knew of backend servers before a restart.
+type SavedRoster struct {
+	Members []registrar.Member `cbor:"1,keyasint"`
+	// Heard are the names of those that announced themselves to this instance; another one watches over the others.
+	Heard []string `cbor:"2,keyasint"`
+}
+
+// restoring are the servers that announced themselves here before the restart and have not done so anywhere since.
 type restoring struct {
 	// rows gives each as it was saved.
 	rows  map[string]registrar.Member
@@ -21,16 +31,21 @@
 
 // restore takes the saved roster in: after a loss of power of everything, all servers are known at once instead of one by
 // one as they announce themselves.
-func (s *Steward) restore(list []registrar.Member) {
+func (s *Steward) restore(saved SavedRoster) {
 	s.restoring = restoring{rows: map[string]registrar.Member{}, until: s.deps.Common.Clock.Now() + restoreSpan}
-	for _, m := range list {
+	serving := 0
+	for _, m := range saved.Members {
 		s.roster.Merge(m)
-		if m.Standing == registrar.StandingServing {
+		if m.Standing != registrar.StandingServing {
+			continue
+		}
+		serving++
+		if slices.Contains(saved.Heard, m.Name) {
 			s.restoring.rows[m.Name] = m
 		}
 	}
-	if len(list) > 0 {
-		s.deps.Common.Log.Info("backend servers restored", "servers", len(list), "serving", len(s.restoring.rows))
+	if len(saved.Members) > 0 {
+		s.deps.Common.Log.Info("backend servers restored", "servers", len(saved.Members), "serving", serving, "heard-here", len(s.restoring.rows))
 	}
 }
 
@@ -58,7 +73,7 @@
 		return
 	}
 	select {
-	case s.saves <- s.roster.Rows():
+	case s.saves <- SavedRoster{Members: s.roster.Rows(), Heard: slices.Sorted(maps.Keys(s.heard))}:
 		s.unsaved, s.savedAt = false, now
 	default:
 		// The disk is slow; the next look finds the newest state.
@@ -68,9 +83,9 @@
 func (s *Steward) runSaves() error {
 	for {
 		select {
-		case rows := <-s.saves:
-			if err := s.deps.Save(rows); err != nil {
-				s.deps.Common.Log.Warn("roster not saved", "servers", len(rows), "error", err)
+		case saved := <-s.saves:
+			if err := s.deps.Save(saved); err != nil {
+				s.deps.Common.Log.Warn("roster not saved", "servers", len(saved.Members), "error", err)
 			}
 		case <-s.tomb.Dying():
 			return nil
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -47,9 +47,9 @@
 	Seeds  []string
 	Record *recorder.Record
 	// Restored are the backend servers that were known before a restart.
-	Restored []registrar.Member
+	Restored SavedRoster
 	// Save keeps the known backend servers for a restart; nil keeps nothing.
-	Save func([]registrar.Member) error
+	Save func(SavedRoster) error
 }
 
 // Steward is one control instance; its thread owns all fields below events.
@@ -70,7 +70,7 @@
 	seeds    []string
 	known    map[string]timer.Millis
 	roster   *registrar.Roster
-	heard    map[string]timer.Millis
+	heard    map[string]hearing
 	idleAt   map[string]timer.Millis
 	policy   applier.Policy
 	rollOuts []applier.RollOut
@@ -92,7 +92,7 @@
 	// unsaved says that the roster has changed since savedAt, when it was last handed to saves.
 	unsaved bool
 	savedAt timer.Millis
-	saves   chan []registrar.Member
+	saves   chan SavedRoster
 }
 
 // NewSteward returns a steward that is not started.
@@ -100,10 +100,10 @@
 	s := &Steward{
 		deps: deps, events: make(chan func(), maxEvents), byAddress: map[string]*messenger.Line{}, calls: map[uint64]chan messenger.Reply{},
 		lines: map[*messenger.Line]messenger.Greeting{}, seeds: deps.Seeds, known: map[string]timer.Millis{},
-		roster: registrar.NewRoster(), heard: map[string]timer.Millis{}, idleAt: map[string]timer.Millis{},
+		roster: registrar.NewRoster(), heard: map[string]hearing{}, idleAt: map[string]timer.Millis{},
 		begun: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{}, seenAt: map[replicator.ID]timer.Millis{}, identities: map[string]replicator.ID{},
 		crashers: map[uint64]bool{}, work: map[*messenger.Line][]messenger.Work{}, toldWork: map[*messenger.Line]bool{}, holdovers: map[uint64]bool{},
-		saves: make(chan []registrar.Member),
+		saves: make(chan SavedRoster),
 	}
 	s.restore(deps.Restored)
 	s.dialer = messenger.NewDialer(s.Ends())
@@ -237,6 +237,7 @@
 	if changed := s.merge(p.Members); len(changed) > 0 {
 		s.sendToEntries(messenger.Packet{Members: changed})
 	}
+	s.contradict(p.Members)
 	if p.Outcomes != nil {
 		s.outcomes[incarnationOf(from)] = p.Outcomes
 	}
