Work the shared parts' key and places out once; one urgency for count and wire

Cause: the key was hashed anew for each server looked at, and the places compared each server with each; the urgency on the wire was worked out after the prompt had been noted, and could differ from the one that was counted. Change: the key is kept for the model at hand, places take two passes; the counted urgency is sent. Test: TestPlacesAreThoseOfTheRendezvousOrder compares with counting.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -94,7 +94,7 @@
 	}
 	t.f.prefixes.note(t.prefixKey(), s.Name, now)
 	x.cancel = context.AfterFunc(ctx, func() { _ = c.Close() })
-	header := t.f.deps.Codec.Prepare(t.Request, t.attempt(s))
+	header := t.f.deps.Codec.Prepare(t.Request, t.attempt(s, x.urgency))
 	x.sentAt = t.f.deps.Common.Clock.Now()
 	if err := c.write(t.Request, header); err != nil {
 		return t.failed(x, err)
@@ -127,12 +127,11 @@
 	return x, outcomeUnknown
 }
 
-func (t *task) attempt(s *server) Attempt {
-	a := Attempt{Server: s.Name, TimeLeft: t.deadline - t.f.deps.Common.Clock.Now(), Model: t.model, LastEvent: t.LastEvent}
+func (t *task) attempt(s *server, urgency int) Attempt {
+	a := Attempt{Server: s.Name, TimeLeft: t.deadline - t.f.deps.Common.Clock.Now(), Model: t.model, Urgency: urgency, LastEvent: t.LastEvent}
 	if t.workspace != nil {
 		a.Workspace = t.workspace.Name
 	}
-	a.Urgency = t.urgency(s)
 	return a
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,6 +154,9 @@
 	shunned string
 	last    *server
 	writer  *writer
+	// key names the shared parts of the prompt in the cache of keyModel; 0 before it is needed.
+	key      uint64
+	keyModel string
 }
 
 // Serve answers one request.
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -21,9 +18,8 @@
 	// slowCost is what a server that answers far later than usual costs, in milliseconds.
 	slowCost = 200.0
 	// coldCost is what it costs, in milliseconds for each shared token, to leave the server that should hold the shared
-	// parts of a prompt for the next in line; servers after coldPlaces are all alike.
-	coldCost   = 0.02
-	coldPlaces = 2.0
+	// parts of a prompt for the next in line.
+	coldCost = 0.02
 	// engineQueue and plainQueue are how many requests may wait at a server, as a share of its slots.
 	engineQueue = 0.5
 	plainQueue  = 2.0
@@ -97,7 +93,7 @@
 func (t *task) cheapest(list []*server, now timer.Millis, desperate bool) *server {
 	var best *server
 	lowest := 0.0
-	places := t.order(list)
+	places := t.places(list)
 	for i, s := range list {
 		suspended, slowness := s.state(now)
 		if suspended != desperate || t.tried[s.Name] {
@@ -131,7 +127,7 @@
 		cost += farCost
 	}
 	if place > 0 {
-		cost += min(float64(place), coldPlaces) * coldCost * float64(t.sharedTokens())
+		cost += float64(place) * coldCost * float64(t.sharedTokens())
 	}
 	return cost
 }
@@ -147,29 +143,6 @@
 	return slots + int(plainQueue*float64(slots))
 }
 
-// prefixKey tells the shared parts of a prompt from others; caches hold them for each model apart.
-func (t *task) prefixKey() uint64 {
-	if !t.route.Sticky || len(t.Parts) < 2 {
-		return 0
-	}
-	var b strings.Builder
-	for _, p := range t.Parts[:len(t.Parts)-1] {
-		b.WriteString(p.ID)
-		b.WriteByte(',')
-	}
-	b.WriteString(t.model)
-	return xxhash.Sum64String(b.String())
-}
-
-// sharedTokens returns the tokens of the prompt's shared parts.
-func (t *task) sharedTokens() int {
-	sum := 0
-	for _, p := range t.Parts[:max(0, len(t.Parts)-1)] {
-		sum += p.Tokens
-	}
-	return sum
-}
-
 // promptWork estimates how long the server reads the prompt, in milliseconds.
 func (t *task) promptWork(s *server) float64 {
 	tokens := t.TokensIn
@@ -179,37 +152,6 @@
 	return float64(max(0, tokens)) * t.f.paces.get(t.model)
 }
 
-// order returns the place of each server in the line of those that should hold the shared parts of the prompt, by
-// rendezvous hashing within each data centre; nil where there are none.
-func (t *task) order(list []*server) []int {
-	key := t.prefixKey()
-	if key == 0 {
-		return nil
-	}
-	weights := make([]uint64, len(list))
-	for i, s := range list {
-		weights[i] = mix(key ^ s.hash)
-	}
-	places := make([]int, len(list))
-	for i, s := range list {
-		for j, other := range list {
-			if other.DataCentre == s.DataCentre && weights[j] > weights[i] {
-				places[i]++
-			}
-		}
-	}
-	return places
-}
-
-// mix spreads the bits of a hash.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 const (
 	// shortPrompt is the work, in milliseconds, up to which a prompt goes before longer ones: it delays them little.
 	shortPrompt = 50.0
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -28,7 +28,6 @@
 	Header http.Header
 	Body   []byte
 	Key    string
-	HasKey bool
 	// Patience is how long the caller waits, in milliseconds; 0 when it does not say.
 	Patience timer.Millis
 	Session  string
--- /dev/null
+++ b/internal/forwarder/shared_parts_test.go
@@ -0,0 +1,73 @@
+package forwarder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+)
+
+// countedPlaces counts, for each server, those of its data centre that come before it.
+func countedPlaces(key uint64, list []*server) []int {
+	places := make([]int, len(list))
+	for i, s := range list {
+		for _, other := range list {
+			if other.DataCentre == s.DataCentre && mix(key^other.hash) > mix(key^s.hash) {
+				places[i] = min(places[i]+1, lastPlace)
+			}
+		}
+	}
+	return places
+}
+
+func TestPlacesAreThoseOfTheRendezvousOrder(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for n := range 120 {
+		var list []*server
+		for i := range n {
+			name := fmt.Sprintf("s-%d-%d", n, i)
+			m := registrar.Member{Name: name, DataCentre: fmt.Sprint("dc-", r.IntN(6))}
+			list = append(list, &server{Member: m, health: &health{hash: xxhash.Sum64String(name)}})
+		}
+		task := &task{Request: &Request{Parts: []Part{{ID: fmt.Sprint(n)}, {ID: "own"}}}, route: &matcher.Route{Sticky: true}}
+		if got, want := task.places(list), countedPlaces(task.prefixKey(), list); !slices.Equal(got, want) {
+			t.Fatalf("%d servers: got %v, want %v", n, got, want)
+		}
+	}
+}
+
+func TestPrefixKeyTellsModelsAndPartsApart(t *testing.T) {
+	key := func(model string, sticky bool, parts ...string) uint64 {
+		var list []Part
+		for _, id := range parts {
+			list = append(list, Part{ID: id})
+		}
+		return (&task{Request: &Request{Parts: list}, route: &matcher.Route{Sticky: sticky}, model: model}).prefixKey()
+	}
+	base := key("m", true, "a", "b", "own")
+	tests := map[string]struct {
+		got  uint64
+		same bool
+	}{
+		"another last part": {key("m", true, "a", "b", "other"), true},
+		"another model":     {key("n", true, "a", "b", "own"), false},
+		"another part":      {key("m", true, "a", "c", "own"), false},
+		"no shared part":    {key("m", true, "own"), false},
+		"no sticky route":   {key("m", false, "a", "b", "own"), false},
+	}
+	for name, tt := range tests {
+		if (tt.got == base) != tt.same {
+			t.Errorf("%s: key %d, base %d", name, tt.got, base)
+		}
+	}
+	moved := &task{Request: &Request{Parts: []Part{{ID: "a"}, {ID: "b"}, {ID: "own"}}}, route: &matcher.Route{Sticky: true}, model: "n"}
+	_ = moved.prefixKey()
+	if moved.model = "m"; moved.prefixKey() != base {
+		t.Error("the key of a request that moved to another model is that of the model before")
+	}
+}
