--- a/internal/coordinator/bills.go
+++ b/internal/coordinator/bills.go
@@ -61,12 +61,11 @@
 func (c *Coordinator) billHolders() []string {
 	var near, far []string
 	for _, p := range c.reached() {
-		switch {
-		case p.DataCentre == c.deps.Self.DataCentre:
+		if p.DataCentre == c.deps.Self.DataCentre {
 			near = append(near, p.Name)
-		default:
-			far = append(far, p.Name)
+			continue
 		}
+		far = append(far, p.Name)
 	}
 	return append(near, far...)
 }
--- a/internal/steward/announcements_test.go
+++ b/internal/steward/announcements_test.go
@@ -34,7 +34,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := timer.Millis(timer.Minute)
+			now := timer.Minute
 			clock := timer.NewClock()
 			clock.Now = func() timer.Millis { return now }
 			s := NewSteward(Deps{Common: observer.NewQuiet(clock), Rules: Rules{Silence: silence, Forget: timer.Minute}})
@@ -63,7 +63,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := timer.Millis(timer.Minute)
+			now := timer.Minute
 			clock := timer.NewClock()
 			clock.Now = func() timer.Millis { return now }
 			s := NewSteward(Deps{Common: observer.NewQuiet(clock), Rules: Rules{Silence: 4500, Forget: timer.Minute}})
--- a/internal/steward/restore_test.go
+++ b/internal/steward/restore_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestTheRosterIsSavedWhenItChanged(t *testing.T) {
-	now := timer.Millis(10 * timer.Second)
+	now := 10 * timer.Second
 	clock := timer.NewClock()
 	clock.Now = func() timer.Millis { return now }
 	saves := make(chan SavedRoster, 1)
