Silence: a server that started anew elsewhere counts its announcements anew

Found on reading: the last hearing was compared by number alone, so that a new incarnation with low numbers that announces itself to another instance could be called silent.

--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -15,8 +15,14 @@
 
 // hearing is the last announcement of a backend server that came to this instance itself.
 type hearing struct {
-	at       timer.Millis
-	sequence int64
+	at          timer.Millis
+	incarnation int64
+	sequence    int64
+}
+
+// overtaken reports whether a row of the roster is from a later announcement.
+func (h hearing) overtaken(row registrar.Member) bool {
+	return row.Incarnation > h.incarnation || row.Incarnation == h.incarnation && row.Sequence > h.sequence
 }
 
 func (s *Steward) announce(m registrar.Member) {
@@ -26,7 +32,7 @@
 		s.deps.Common.Log.Debug("late announcement ignored", "server", m.Name, "incarnation", m.Incarnation, "sequence", m.Sequence)
 		return
 	}
-	s.heard[m.Name] = hearing{at: s.deps.Common.Clock.Now(), sequence: m.Sequence}
+	s.heard[m.Name] = hearing{at: s.deps.Common.Clock.Now(), incarnation: m.Incarnation, sequence: m.Sequence}
 	if row, _ := s.roster.Row(m.Name); changed || !heard {
 		s.tell(row)
 	}
@@ -92,7 +98,7 @@
 		}
 		delete(s.heard, name)
 		row, ok := s.roster.Row(name)
-		if !ok || row.Standing != registrar.StandingServing || row.Sequence > h.sequence {
+		if !ok || row.Standing != registrar.StandingServing || h.overtaken(row) {
 			// A later announcement came to another instance, which watches over the server now.
 			continue
 		}
--- a/internal/steward/announcements_test.go
+++ b/internal/steward/announcements_test.go
@@ -25,11 +25,14 @@
 		want      registrar.Standing
 		told      bool
 	}{
-		"nobody hears of it":                         {nil, registrar.StandingSilent, true},
-		"another instance hears of it":               {[]registrar.Member{member(5)}, registrar.StandingServing, false},
-		"another instance heard the same":            {[]registrar.Member{member(4)}, registrar.StandingSilent, true},
-		"another instance has heard of it and lost":  {[]registrar.Member{member(5), silent(5)}, registrar.StandingSilent, false},
-		"another instance lost it before we heard":   {[]registrar.Member{silent(3)}, registrar.StandingSilent, true},
+		"nobody hears of it":                        {nil, registrar.StandingSilent, true},
+		"another instance hears of it":              {[]registrar.Member{member(5)}, registrar.StandingServing, false},
+		"another instance heard the same":           {[]registrar.Member{member(4)}, registrar.StandingSilent, true},
+		"another instance has heard of it and lost": {[]registrar.Member{member(5), silent(5)}, registrar.StandingSilent, false},
+		"another instance lost it before we heard":  {[]registrar.Member{silent(3)}, registrar.StandingSilent, true},
+		"it started anew and announces itself elsewhere": {
+			[]registrar.Member{{Name: "a", Incarnation: 2, Sequence: 1, Address: "a:1", Service: "s"}}, registrar.StandingServing, false,
+		},
 		"another instance learns that it is leaving": {[]registrar.Member{{Name: "a", Incarnation: 1, Sequence: 5, Address: "a:1", Service: "s", Standing: registrar.StandingLeaving}}, registrar.StandingLeaving, false},
 	}
 	for name, tt := range tests {
