--- a/internal/steward/guard_test.go
+++ b/internal/steward/guard_test.go
@@ -66,3 +66,27 @@
 		})
 	}
 }
+
+// The pattern: servers of both versions crash at the time at which the new version's share of requests grows, so that most
+// of its answers, but few of the old one's, fall into the trouble.
+func TestTroubleOfAllVersionsTakesNoneBack(t *testing.T) {
+	const span = 24 * timer.Second
+	seconds := []struct {
+		before, target count
+	}{
+		{count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 1}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
+		{count{100, 5}, count{6, 1}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
+		{count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
+		{count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}},
+		{count{45, 30}, count{16, 11}},
+	}
+	all := tally{before: map[string]count{}, target: map[string]count{}}
+	for n, s := range seconds {
+		b, c := all.before[allRoutes], all.target[allRoutes]
+		all.before[allRoutes] = count{b.good + s.before.good, b.bad + s.before.bad}
+		all.target[allRoutes] = count{c.good + s.target.good, c.bad + s.target.bad}
+		if state, why := verdict(all, timer.Millis(n+1)*timer.Second, span); state != "" {
+			t.Fatalf("after %d s: %q (%s), want none", n+1, state, why)
+		}
+	}
+}
