--- a/internal/steward/guard_test.go
+++ b/internal/steward/guard_test.go
@@ -77,8 +77,8 @@
 		{count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 1}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
 		{count{100, 5}, count{6, 1}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
 		{count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}}, {count{100, 5}, count{6, 0}},
-		{count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}}, {count{45, 30}, count{16, 11}},
-		{count{45, 30}, count{16, 11}},
+		{count{33, 27}, count{12, 10}}, {count{33, 27}, count{12, 10}}, {count{33, 27}, count{12, 10}}, {count{33, 27}, count{12, 10}},
+		{count{33, 27}, count{12, 10}},
 	}
 	all := tally{before: map[string]count{}, target: map[string]count{}}
 	for n, s := range seconds {
