Confirm a crash report at every instance before the caller is answered

Cause: TestRequestThatCrashesServersCrashesTwoAtMost saw 3 crashes of 8 under load. The report of a crash was sent without waiting; a caller who was told of the failure and sent the request again at another instance came before it. Change: the report is a call; the instance goes on when all reachable instances have stored it, 500 ms at most.

--- a/internal/assembler/crash_limits_test.go
+++ b/internal/assembler/crash_limits_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/parser"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 func TestRequestThatCrashesServersCrashesTwoAtMost(t *testing.T) {
@@ -58,6 +60,47 @@
 	}
 }
 
+// A caller who is told that a request failed sends it again at another instance at once. Links delay every message, so
+// a crash report that nobody waits for arrives there after the request.
+func TestCrashIsKnownAtEveryInstanceBeforeTheAnswer(t *testing.T) {
+	t.Parallel()
+	const linkDelay = 120 * timer.Millisecond
+	text, err := os.ReadFile("../../examples/tazy-fit.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := NewFleet(Config{Folder: t.TempDir(), Document: string(text), DataCentres: []string{"almaty-a", "astana-a", "shymkent-a"},
+		LinkDelay: func(string, string) timer.Millis { return linkDelay }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	for n := range 6 {
+		addEngine(t, f, fmt.Sprintf("e%d", n), imitator.EngineConfig{CrashOn: "poison"})
+	}
+	waitForServers(t, f)
+	for resend := range 3 {
+		_, err := f.NewCaller(resend, "volunteers").Chat(context.Background(), caller.Prompt{Model: "fitting-model", Text: "poison"})
+		var refused *caller.Error
+		if !errors.As(err, &refused) || refused.Type != "quarantined" {
+			t.Errorf("resend %d: %v", resend, err)
+		}
+	}
+	crashed := 0
+	for _, e := range f.Engines {
+		if e.Crashed() {
+			crashed++
+		}
+	}
+	if crashed != 2 {
+		t.Errorf("%d engines crashed, want 2", crashed)
+	}
+}
+
 // postRatings sends ratings of answers to one instance, as the rating service does.
 func postRatings(t *testing.T, f *Fleet, instance int, ratings []messenger.Rating) {
 	t.Helper()
--- a/internal/coordinator/broadcast.go
+++ b/internal/coordinator/broadcast.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // Announce applies a backend server's announcement here and, if it is accepted, sends it to every other instance.
@@ -23,10 +25,40 @@
 	return outcome, nil
 }
 
-// BroadcastCrash sends a crash of a backend server, with the request that ran on it, to every other instance.
-func (c *Coordinator) BroadcastCrash(crash quarantiner.Crash) {
+// crashShareTimeout bounds the wait for other instances to store a crash report; the path between regions takes tens of
+// milliseconds.
+const crashShareTimeout = 500 * timer.Millisecond
+
+// ShareCrash sends a crash of a backend server, with the request that ran on it, to every other instance. It returns
+// when all reachable instances have stored the report, so that a resent request finds it at any of them; it gives up
+// after crashShareTimeout.
+func (c *Coordinator) ShareCrash(crash quarantiner.Crash) {
+	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), crashShareTimeout.Duration())
+	defer cancel()
+	reachable := c.reachablePeers()
+	var wg sync.WaitGroup
 	for _, p := range c.peers.all() {
-		c.mesh.Send(p.Name, messenger.Envelope{Crash: &crash})
+		if !slices.ContainsFunc(reachable, func(r PeerState) bool { return r.Name == p.Name }) {
+			c.mesh.Send(p.Name, messenger.Envelope{Crash: &crash})
+			continue
+		}
+		wg.Go(func() { c.runShareCrash(ctx, p.Name, crash) })
+	}
+	wg.Wait()
+}
+
+// runShareCrash sends a crash report to one instance and waits until it is stored there.
+func (c *Coordinator) runShareCrash(ctx context.Context, instance string, crash quarantiner.Crash) {
+	if _, err := c.mesh.Call(ctx, instance, messenger.Envelope{Crash: &crash}); err != nil {
+		c.deps.Telemetry.Log.Warn("crash report not confirmed", "instance", instance, "server", crash.Server, "error", err)
+	}
+}
+
+// handleCrash stores another instance's crash report and confirms it.
+func (c *Coordinator) handleCrash(e messenger.Envelope) {
+	c.deps.Quarantine.Add(*e.Crash)
+	if e.CallID != 0 {
+		c.mesh.Send(e.From, messenger.Envelope{CallID: e.CallID, CrashReply: &messenger.CrashReply{}})
 	}
 }
 
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -22,7 +22,7 @@
 	case e.Announcement != nil:
 		c.handleAnnouncement(*e.Announcement)
 	case e.Crash != nil:
-		c.deps.Quarantine.Add(*e.Crash)
+		c.handleCrash(e)
 	case e.RatedAnswer != nil:
 		c.deps.HandleRatedAnswer(*e.RatedAnswer)
 	case e.Ratings != nil:
--- a/internal/launcher/instance.go
+++ b/internal/launcher/instance.go
@@ -171,7 +171,7 @@
 		return err
 	}
 	i.billStore.bills.SetReplicate(i.coordinator.ReplicateBill)
-	i.quarantine.SetBroadcast(i.coordinator.BroadcastCrash)
+	i.quarantine.SetShare(i.coordinator.ShareCrash)
 	i.admitter = admitter.NewAdmitter(i.telemetry, admitter.Limits{MaxInFlight: s.Limits.MaxInFlight, MaxWait: s.Limits.MaxWait})
 	i.dispatcher = dispatcher.NewDispatcher(s.Limits.EngineStall)
 	claims := claimer.NewClaimer(claimer.Deps{
--- a/internal/messenger/envelope.go
+++ b/internal/messenger/envelope.go
@@ -43,11 +43,12 @@
 	Crash          *quarantiner.Crash      `cbor:"15,keyasint,omitempty"`
 	Ratings        []Rating                `cbor:"16,keyasint,omitempty"`
 	RatedAnswer    *RatedAnswer            `cbor:"17,keyasint,omitempty"`
+	CrashReply     *CrashReply             `cbor:"18,keyasint,omitempty"`
 }
 
 // isReply reports whether the envelope is the reply to a call.
 func (e Envelope) isReply() bool {
-	return e.ProposalReply != nil || e.BillReply != nil || e.WaitingReply != nil
+	return e.ProposalReply != nil || e.BillReply != nil || e.WaitingReply != nil || e.CrashReply != nil
 }
 
 // RatedAnswer is the outcome of one answer of a version on roll-out. It is sent to the leader, which evaluates the
@@ -123,6 +124,9 @@
 	Error string `cbor:"1,keyasint,omitempty"`
 }
 
+// CrashReply confirms that a crash report is stored.
+type CrashReply struct{}
+
 // maxEnvelopeBytes bounds one received message; a snapshot of the record is the largest.
 const maxEnvelopeBytes = 64 << 20
 
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -25,8 +25,8 @@
 type Quarantine struct {
 	mu      sync.Mutex
 	crashes *lru.Cache[string, map[Crash]bool]
-	// broadcast sends a crash report to the other instances.
-	broadcast func(Crash)
+	// share sends a crash report to the other instances and returns once they have stored it.
+	share func(Crash)
 }
 
 // NewQuarantine returns an empty quarantine.
@@ -35,19 +35,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Quarantine{crashes: crashes, broadcast: func(Crash) {}}, nil
+	return &Quarantine{crashes: crashes, share: func(Crash) {}}, nil
 }
 
-// SetBroadcast sets the function that sends crash reports to other instances; it must be called before the first
-// report.
-func (q *Quarantine) SetBroadcast(broadcast func(Crash)) {
-	q.broadcast = broadcast
+// SetShare sets the function that sends crash reports to the other instances and waits until they have stored them; it
+// must be called before the first report.
+func (q *Quarantine) SetShare(share func(Crash)) {
+	q.share = share
 }
 
-// Report records a crash and, if it is new, reports it to the other instances.
+// Report records a crash and, if it is new, shares it with the other instances before it returns.
 func (q *Quarantine) Report(c Crash) {
 	if q.Add(c) {
-		q.broadcast(c)
+		q.share(c)
 	}
 }
 
