Select another version when one is withdrawn at any step before the send

Cause: attempt checked the version, waited for room in the pool and sent without looking again. A version withdrawn before the check gave the caller a 409, one withdrawn during the wait still got the request. Change: selection, admission and a check on the view that places the request; a withdrawn version is replaced. Test: a withdrawal at each of the first 8 reads of the view; red at 4 of them before.

--- a/internal/router/model_task.go
+++ b/internal/router/model_task.go
@@ -11,8 +11,10 @@
 
 	"github.com/tidwall/sjson"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/admitter"
 	"github.com/eelgrasshook/eelgrasshook/internal/biller"
 	"github.com/eelgrasshook/eelgrasshook/internal/dispatcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
 	"github.com/eelgrasshook/eelgrasshook/internal/placer"
 	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -62,9 +64,6 @@
 		if err := m.checkQuarantine(); err != nil {
 			return err
 		}
-		if err := m.reselect(); err != nil {
-			return m.toRefusal(ctx, err)
-		}
 	}
 }
 
@@ -163,16 +162,12 @@
 }
 
 func (m *modelTask) attempt(ctx context.Context) error {
-	view := m.view()
-	if err := m.deps.Selector.CheckPermitted(view, m.req, m.sel); err != nil {
-		return receiver.AsRefusal(err).WithRan(m.ranSoFar())
-	}
-	ticket, err := m.admitToPool(ctx, m.req.Environment+"/"+m.sel.Version.Name, func() []registrar.BackendServer { return m.view().EngineServers(m.sel.Version) })
+	ticket, view, err := m.admitPermitted(ctx)
 	if err != nil {
 		return err
 	}
 	defer ticket.Release()
-	p, err := m.place(m.view().EngineServers(m.sel.Version), m.affinityKey())
+	p, err := m.place(view, view.EngineServers(m.sel.Version), m.affinityKey())
 	if err != nil {
 		return err
 	}
@@ -187,6 +182,26 @@
 	return nil
 }
 
+// admitPermitted waits until the selected version's servers have room. A version that was withdrawn meanwhile is replaced
+// by another one; the returned view permits the version.
+func (m *modelTask) admitPermitted(ctx context.Context) (*admitter.Ticket, *indexer.View, error) {
+	for {
+		if err := m.reselect(); err != nil {
+			return nil, nil, receiver.AsRefusal(err).WithRan(m.ranSoFar())
+		}
+		version := m.sel.Version
+		ticket, err := m.admitToPool(ctx, m.req.Environment+"/"+version.Name, func() []registrar.BackendServer { return m.view().EngineServers(version) })
+		if err != nil {
+			return nil, nil, err
+		}
+		view := m.view()
+		if m.deps.Selector.CheckPermitted(view, m.req, m.sel) == nil {
+			return ticket, view, nil
+		}
+		ticket.Release()
+	}
+}
+
 // reportFault reports a faulty answer of the version; an answer that was cut off is not the version's fault.
 func (m *modelTask) reportFault(err error) {
 	var f *verifier.Fault
--- a/internal/router/service_task.go
+++ b/internal/router/service_task.go
@@ -104,7 +104,8 @@
 		return claimer.Answer{}, err
 	}
 	defer ticket.Release()
-	p, err := s.place(s.view().ServiceServers(s.req.Service), "")
+	view := s.view()
+	p, err := s.place(view, view.ServiceServers(s.req.Service), "")
 	if err != nil {
 		return claimer.Answer{}, err
 	}
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -45,9 +45,9 @@
 }
 
 // place chooses a backend server that was not tried yet, and counts the attempt.
-func (t *task) place(servers []registrar.BackendServer, affinity string) (placer.Placement, error) {
+func (t *task) place(view *indexer.View, servers []registrar.BackendServer, affinity string) (placer.Placement, error) {
 	start := time.Now()
-	p, ok := t.deps.Placer.Place(t.view(), placer.Query{Servers: servers, Affinity: affinity, Tried: t.triedServers, Isolated: t.suspect})
+	p, ok := t.deps.Placer.Place(view, placer.Query{Servers: servers, Affinity: affinity, Tried: t.triedServers, Isolated: t.suspect})
 	t.metrics.placementMicros.Update(time.Since(start).Microseconds())
 	if !ok {
 		return p, t.noServerError()
