Judge a roll-out by the answers of both versions in the same second

Cause: the rate of the previous version was taken over its whole past. When servers of both versions crash after most sessions have moved, the target's answers come from the crash and the previous version's from before. Change: Wald's test adds up the ratio second by second, with the previous version's rate of that second; recent answers stand in where it has few. A lower bound keeps a version that turns bad late from living on its earlier answers. Ruled out: a recent average alone (it lags behind a sudden crash: ratio 6.6 in place of 0.5 in the second of the crash).

--- a/internal/steward/changes.go
+++ b/internal/steward/changes.go
@@ -77,7 +77,7 @@
 	}
 	now := s.deps.Telemetry.Clock.Now()
 	for _, r := range rollOuts {
-		key := r.Service + " " + r.TargetVersion
+		key := rollOutKey(r)
 		if _, ok := s.rollOutStartedAt[key]; !ok {
 			// After a restart the age is computed from the leader's timestamp, which is inexact by the difference between the
 			// two clocks.
@@ -108,7 +108,7 @@
 	now := s.deps.Telemetry.Clock.Now()
 	list := make([]messenger.RollOut, 0, len(s.rollOuts))
 	for _, r := range s.rollOuts {
-		list = append(list, messenger.RollOut{RollOut: r, Elapsed: now - s.rollOutStartedAt[r.Service+" "+r.TargetVersion]})
+		list = append(list, messenger.RollOut{RollOut: r, Elapsed: now - s.rollOutStartedAt[rollOutKey(r)]})
 	}
 	return list
 }
--- a/internal/steward/rollouts.go
+++ b/internal/steward/rollouts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
@@ -12,18 +11,6 @@
 )
 
 const (
-	// minBadAnswers is the number of bad answers below which a version is not rolled back.
-	minBadAnswers = 4
-	// badRateMargin is how much the rate of bad answers of a bad version exceeds that of the previous one. Bad versions in
-	// the users' recorded days fail a third of their answers.
-	badRateMargin = 0.3
-	// minBadRate is the lower bound of the rate of bad answers that is expected of a good version.
-	minBadRate = 0.03
-	// maxBadRate keeps the rate of bad answers that is expected of a bad version below 1, where the likelihood ratio is
-	// undefined.
-	maxBadRate = 0.95
-	// falseRollBackChance is the accepted probability of rolling a good version back because of one route.
-	falseRollBackChance = 0.001
 	// completionPercent is the share of a roll-out's time limit, in percent, after which it completes as soon as no
 	// request runs on the previous version.
 	completionPercent = 78
@@ -31,36 +18,6 @@
 	completionReserve = 1500 * timer.Millisecond
 )
 
-// answerCounts counts the good and the bad answers of a version.
-type answerCounts struct {
-	good, bad int
-}
-
-// withOutcomes adds the counts of one entry instance; slow answers count as bad.
-func (c answerCounts) withOutcomes(o messenger.Outcomes) answerCounts {
-	return answerCounts{good: c.good + o.Good, bad: c.bad + o.Bad + o.Slow}
-}
-
-func (c answerCounts) total() int {
-	return c.good + c.bad
-}
-
-// isWorseThan reports whether a version is clearly worse than the previous one, by Wald's sequential probability ratio
-// test.
-func (c answerCounts) isWorseThan(previous answerCounts) bool {
-	return c.bad >= minBadAnswers && c.logLikelihoodRatio(previous) > -math.Log(falseRollBackChance)
-}
-
-// logLikelihoodRatio returns the logarithm of the likelihood ratio of the answers: those of a bad version against those
-// of a version that is as good as the previous one.
-func (c answerCounts) logLikelihoodRatio(previous answerCounts) float64 {
-	// The rate of the previous version is estimated with one more good and one more bad answer (Laplace smoothing).
-	expectedIfGood := max(minBadRate, float64(previous.bad+1)/float64(previous.total()+2))
-	expectedIfBad := min(maxBadRate, expectedIfGood+badRateMargin)
-	return float64(c.bad)*math.Log(expectedIfBad/expectedIfGood) -
-		float64(c.good)*math.Log((1-expectedIfGood)/(1-expectedIfBad))
-}
-
 // rollOutOutcomes sums the outcomes that all entry instances reported for a roll-out.
 type rollOutOutcomes struct {
 	// previous and target count the answers of the previous and the target version by route, and under allRoutes.
@@ -95,10 +52,10 @@
 	return sums
 }
 
-// decideRollOut returns the state in which a roll-out ends now and the reason; an empty state means that it continues.
-func decideRollOut(sums rollOutOutcomes, elapsed, span timer.Millis) (applier.RollOutState, string) {
+// decide returns the state in which a roll-out ends now and the reason; an empty state means that it continues.
+func (j *rollOutJudge) decide(sums rollOutOutcomes, elapsed, span timer.Millis) (applier.RollOutState, string) {
 	for route, c := range sums.target {
-		if previous := sums.previous[route]; c.isWorseThan(previous) {
+		if previous := sums.previous[route]; j.isWorse(route, c, previous, elapsed) {
 			return applier.RollOutRolledBack, fmt.Sprintf("route %q: %d of %d answers were bad, %d of %d on the version before",
 				route, c.bad, c.total(), previous.bad, previous.total())
 		}
@@ -111,17 +68,27 @@
 	return "", ""
 }
 
-// settleRollOuts ends the roll-outs that decideRollOut has decided, if this instance leads.
+// rollOutKey identifies a roll-out among those of all services.
+func rollOutKey(r applier.RollOut) string {
+	return r.Service + " " + r.TargetVersion
+}
+
+// settleRollOuts ends the roll-outs that their judges have decided, if this instance leads.
 func (s *Steward) settleRollOuts() {
 	if s.deps.Record.Status().Role != replicator.RoleLeader {
 		return
 	}
 	now := s.deps.Telemetry.Clock.Now()
 	for _, r := range s.rollOuts {
+		key := rollOutKey(r)
 		if r.State != applier.RollOutRunning {
+			delete(s.rollOutJudges, key)
 			continue
 		}
-		state, reason := decideRollOut(s.rollOutOutcomes(r), now-s.rollOutStartedAt[r.Service+" "+r.TargetVersion], r.MaxDuration)
+		if s.rollOutJudges[key] == nil {
+			s.rollOutJudges[key] = newRollOutJudge()
+		}
+		state, reason := s.rollOutJudges[key].decide(s.rollOutOutcomes(r), now-s.rollOutStartedAt[key], r.MaxDuration)
 		if state == "" {
 			continue
 		}
--- a/internal/steward/rollouts_test.go
+++ b/internal/steward/rollouts_test.go
@@ -72,7 +72,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			got, reason := decideRollOut(rollOutOutcomes{previous: tt.previous, target: tt.target,
+			got, reason := newRollOutJudge().decide(rollOutOutcomes{previous: tt.previous, target: tt.target,
 				runningOnPrevious: tt.runningOnPrevious}, tt.elapsed, span)
 			if got != tt.want {
 				t.Fatalf("got %q (%s), want %q", got, reason, tt.want)
@@ -98,13 +98,76 @@
 		{answerCounts{33, 27}, answerCounts{12, 10}}, {answerCounts{33, 27}, answerCounts{12, 10}},
 		{answerCounts{33, 27}, answerCounts{12, 10}},
 	}
+	judge := newRollOutJudge()
 	all := rollOutOutcomes{previous: map[string]answerCounts{}, target: map[string]answerCounts{}}
 	for n, second := range seconds {
 		previousSum, targetSum := all.previous[allRoutes], all.target[allRoutes]
 		all.previous[allRoutes] = answerCounts{previousSum.good + second.previous.good, previousSum.bad + second.previous.bad}
 		all.target[allRoutes] = answerCounts{targetSum.good + second.target.good, targetSum.bad + second.target.bad}
-		if state, reason := decideRollOut(all, timer.Millis(n+1)*timer.Second, span); state != "" {
+		if state, reason := judge.decide(all, timer.Millis(n+1)*timer.Second, span); state != "" {
 			t.Fatalf("after %d s: state %q (%s), want none", n+1, state, reason)
 		}
 	}
 }
+
+// Servers of both versions crash just before the last sessions move, so the previous version has no answers during the
+// second half of the crashes.
+func TestCrashesWhileSessionsMoveDoNotRollBack(t *testing.T) {
+	const span = 24 * timer.Second
+	judge := newRollOutJudge()
+	var previous, target answerCounts
+	for n := range 18 {
+		p, c := answerCounts{100, 5}, answerCounts{8, 1}
+		switch {
+		case n >= 15:
+			p, c = answerCounts{}, answerCounts{60, 30}
+		case n >= 12:
+			p, c = answerCounts{40, 30}, answerCounts{16, 12}
+		}
+		previous = answerCounts{previous.good + p.good, previous.bad + p.bad}
+		target = answerCounts{target.good + c.good, target.bad + c.bad}
+		sums := rollOutOutcomes{previous: map[string]answerCounts{allRoutes: previous}, target: map[string]answerCounts{allRoutes: target}}
+		if state, reason := judge.decide(sums, timer.Millis(n+1)*timer.Second, span); state != "" {
+			t.Fatalf("after %d s: state %q (%s), want none", n+1, state, reason)
+		}
+	}
+}
+
+// A version that turns bad while the previous one stays good must be rolled back within seconds, also after many
+// intervals in which both were good.
+func TestVersionThatTurnsBadIsRolledBack(t *testing.T) {
+	const (
+		span        = 24 * timer.Second
+		turnsBadAt  = 8
+		maxBadCount = 50
+	)
+	tests := map[string]struct{ previous, good, bad answerCounts }{
+		"a third of its answers fail":                   {answerCounts{100, 5}, answerCounts{8, 0}, answerCounts{5, 3}},
+		"half of its answers fail beside a few of both": {answerCounts{20, 2}, answerCounts{3, 0}, answerCounts{2, 2}},
+		"the previous version has no answers any more":  {answerCounts{0, 0}, answerCounts{20, 1}, answerCounts{12, 9}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			judge := newRollOutJudge()
+			var previous, target answerCounts
+			previous = answerCounts{200, 6}
+			for n := range 20 {
+				answers := tt.good
+				if n >= turnsBadAt {
+					answers = tt.bad
+				}
+				previous = answerCounts{previous.good + tt.previous.good, previous.bad + tt.previous.bad}
+				target = answerCounts{target.good + answers.good, target.bad + answers.bad}
+				sums := rollOutOutcomes{previous: map[string]answerCounts{allRoutes: previous}, target: map[string]answerCounts{allRoutes: target}}
+				state, reason := judge.decide(sums, timer.Millis(n+1)*timer.Second, span)
+				if state == applier.RollOutRolledBack && n >= turnsBadAt {
+					return
+				}
+				if state != "" || target.bad > maxBadCount {
+					t.Fatalf("after %d s, %d bad answers: state %q (%s), want a roll-back", n+1, target.bad, state, reason)
+				}
+			}
+			t.Fatal("not rolled back")
+		})
+	}
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -81,8 +81,10 @@
 	// rollOutStartedAt is the time at which this instance first saw each roll-out, or the leader's start time where that
 	// is earlier; the key is "SERVICE TARGET".
 	rollOutStartedAt map[string]timer.Millis
-	outcomes         map[string][]messenger.Outcomes
-	memberSeenAt     map[replicator.ID]timer.Millis
+	// rollOutJudges holds the judge of each running roll-out while this instance leads, by rollOutKey.
+	rollOutJudges map[string]*rollOutJudge
+	outcomes      map[string][]messenger.Outcomes
+	memberSeenAt  map[replicator.ID]timer.Millis
 	// identityByAddress is the identity in the latest greeting from each address.
 	identityByAddress map[string]replicator.ID
 	crashingRequests  map[uint64]bool
@@ -110,7 +112,7 @@
 		connections: map[*messenger.Link]messenger.Greeting{}, seeds: deps.Seeds, addressSeenAt: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), announcedHere: map[string]lastAnnouncement{},
 		notServingSince:  map[string]timer.Millis{},
-		rollOutStartedAt: map[string]timer.Millis{}, outcomes: map[string][]messenger.Outcomes{},
+		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		crashingRequests: map[uint64]bool{}, pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
