Read backend servers within limits: one package for connections and responses

Cause: three faults of the request path, shown with fakes before the change. 1. A server that sends a head without end took 287 to 1,161 MB of heap in 1.5 s (status line, header lines, one line, bytes that are no answer); an entry instance has 184 MB. 2. A server that dripped bytes in a head, in a plain body or in comments held the request until its time limit (20 s). The reverse: a slow stream was cut although no other server could go on (retry budget spent). 3. A late copy of a refusal was taken for the answer to the next request, or to the next attempt of the same one: a caller was told that its request had not run, after it had run. Change: internal/exchanger holds connections, their reuse and all framing: bounds in bytes and time for heads, skipped responses, bodies, events and the memory of all responses together ([answers] in the settings); progress is a complete event or the end of a head; a stream is given up only if another server may go on with it; no connection carries two attempts of a request; a refusal without the request's id is proof only as the first response of a connection, which is not used again; a response that runs into the cut head of another (found by the fuzz target: a refusal cut before its id made the next answer a refusal) is broken.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -93,6 +93,16 @@
 	MaxExplained int           `ini:"max-explained" default:"10000" min:"0" max:"1000000" doc:"Most requests whose decisions are kept for explain."`
 }
 
+// Answers bounds what a backend server's answer may make an entry instance read and hold.
+type Answers struct {
+	MaxHead     decoder.Bytes `ini:"max-head" default:"64KiB" min:"4KiB" max:"1MiB" doc:"Most bytes before the body of an answer, with informational answers and the heads of answers that are skipped."`
+	HeadTimeout timer.Millis  `ini:"head-timeout" default:"3s" min:"100ms" max:"1m" doc:"Longest time from the first byte of a head to its end."`
+	MaxSkipped  decoder.Bytes `ini:"max-skipped" default:"1MiB" min:"1KiB" max:"64MiB" doc:"Most bytes of an answer to another request, or of a refusal, that are read to keep the connection."`
+	MaxBuffered decoder.Bytes `ini:"max-buffered" default:"16MiB" min:"1MiB" max:"16GiB" doc:"Most bytes that all answers in progress hold together; an answer that needs more is broken off."`
+	MinRate     decoder.Bytes `ini:"min-rate" default:"16KiB" min:"1B" max:"1GiB" doc:"Bytes a second below which an answer that is not streamed counts as stalled, and is asked for elsewhere if it may."`
+	Grace       timer.Millis  `ini:"grace" default:"2s" min:"100ms" max:"1m" doc:"Time before min-rate applies."`
+}
+
 // Retries configures the retry budget of entry instances.
 type Retries struct {
 	Share  decoder.Share `ini:"share" default:"20%" doc:"Repeats as a share of first attempts."`
@@ -136,6 +146,7 @@
 	Data     Data
 	Session  Session
 	Limits   Limits
+	Answers  Answers
 	Retries  Retries
 	Cascade  Cascade
 	Servers  Servers
@@ -162,6 +173,7 @@
 		{"data", "What must outlast the process.", &s.Data},
 		{"session", "How sessions keep their version.", &s.Session},
 		{"limits", "What callers can make the instance hold.", &s.Limits},
+		{"answers", "What backend servers can make an entry instance read and hold.", &s.Answers},
 		{"retries", "What entry instances may send again.", &s.Retries},
 		{"cascade", "When entry instances ask a larger model.", &s.Cascade},
 		{"servers", "When a backend server counts as gone.", &s.Servers},
--- /dev/null
+++ b/internal/exchanger/fuzz_test.go
@@ -0,0 +1,192 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// hostileServer plays a script of well-formed and broken responses; the script also says in which slices they arrive.
+type hostileServer struct {
+	mu     sync.Mutex
+	script []byte
+	// ran holds the ids of the requests that the server has run.
+	ran map[string]bool
+}
+
+// hostileConn is one connection of a hostileServer; late copies come on the connection of the original.
+type hostileConn struct {
+	*hostileServer
+	requests int
+	last     string
+}
+
+// next returns the next byte of the script, 0 at its end.
+func (s *hostileServer) next() byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.script) == 0 {
+		return 0
+	}
+	b := s.script[0]
+	s.script = s.script[1:]
+	return b
+}
+
+func (s *hostileServer) isDone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.script) == 0
+}
+
+func (s *hostileServer) hasRun(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[id]
+}
+
+// answer returns the response of a run of the request.
+func (s *hostileServer) answer(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran[id] = true
+	body := bodyOf(id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func bodyOf(id string) string { return "the whole body of " + id }
+
+func refusalOf(id string) string {
+	return "HTTP/1.1 503 Full\r\nId: " + id + "\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// respond writes what the script says for one request and reports whether the connection stays open.
+func (s *hostileConn) respond(w io.Writer, id string) bool {
+	op := s.next()
+	text, open := "", op&0x80 == 0
+	switch op & 0x0f {
+	case 0:
+		text = s.answer(id)
+	case 1:
+		text = refusalOf(id)
+	case 2:
+		text = "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+	case 3:
+		text = s.last + s.answer(id)
+	case 4:
+		text = s.answer(id) + s.last
+	case 5:
+		text = s.answer(id)
+		text = text[:int(s.next())*len(text)/256]
+	case 6:
+		text = "HTTP/1.1 102 Processing\r\n\r\n" + s.answer(id)
+	case 7:
+		s.answer(id)
+		body := bodyOf(id)
+		text = fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, len(body), body)
+	case 8:
+		s.answer(id)
+		text, open = "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\n"+bodyOf(id), false
+	case 9:
+		for range s.next() {
+			text += string(rune(s.next()))
+		}
+		s.answer(id)
+	case 10:
+		// A late copy needs an earlier request: a server that refuses a request and runs it all the same is a liar.
+		if s.requests > 0 {
+			text = "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		text += s.answer(id)
+	case 11:
+		text = refusalOf(id) + refusalOf(id)
+	case 12:
+		text = s.answer(id) + s.answer(id)
+	case 13:
+		s.answer(id)
+	case 14:
+		text = s.last[:int(s.next())*len(s.last)/256] + s.answer(id)
+	case 15:
+		text = "HTTP/1.1 204 No Content\r\nId: other\r\nContent-Length: 3\r\n\r\nabc" + s.answer(id)
+	}
+	s.last = text
+	s.requests++
+	return writeSliced(w, text, int(op>>4&7)) && open
+}
+
+// writeSliced writes text in slices of the given size; 0 writes it at once.
+func writeSliced(w io.Writer, text string, size int) bool {
+	for len(text) > 0 {
+		n := len(text)
+		if size > 0 {
+			n = min(n, size*7)
+		}
+		if _, err := io.WriteString(w, text[:n]); err != nil {
+			return false
+		}
+		text = text[n:]
+	}
+	return true
+}
+
+func (s *hostileServer) run(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	c := &hostileConn{hostileServer: s}
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil || !c.respond(conn, r.Header.Get("Id")) {
+			return
+		}
+	}
+}
+
+// FuzzExchanges sends requests to a hostile server over reused connections. A response must go to its own request, whole
+// or marked as broken, and a request counts as not run only if it has not run.
+func FuzzExchanges(f *testing.F) {
+	f.Add([]byte{0, 0, 0})
+	f.Add([]byte{1, 0, 3, 0, 4, 0})
+	f.Add([]byte{2, 10, 0, 11, 0, 12, 0})
+	f.Add([]byte{0x15, 200, 0x26, 0x37, 8, 13, 0})
+	f.Add([]byte{0, 14, 128, 0, 9, 3, 'a', 'b', 'c', 15, 0})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		s := &hostileServer{script: script, ran: map[string]bool{}}
+		limits := testLimits()
+		limits.HeadTimeout, limits.BodyGrace = 15, 15
+		p := NewPool(Deps{Now: timer.NewSystemClock().Now, Limits: limits, Memory: NewMemory(64 << 10),
+			Dial: func(context.Context, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go s.run(server)
+				return client, nil
+			}}, "")
+		const maxRequests = 24
+		for n := 0; n < maxRequests && !s.isDone(); n++ {
+			id := fmt.Sprintf("r%d", n)
+			c := p.Get(nil)
+			if c == nil {
+				var err error
+				if c, err = p.Open(context.Background(), timer.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got, body := exchangeWithin(p, c, id, 20)
+			switch {
+			case got == complete && body != bodyOf(id):
+				t.Fatalf("%s got %q, which is not its own answer", id, body)
+			case got == notRun && s.hasRun(id):
+				t.Fatalf("%s has run but counts as not run", id)
+			}
+		}
+		p.SetClosed(true)
+		if used := p.deps.Memory.used.Load(); used != 0 {
+			t.Fatalf("%d bytes are still counted", used)
+		}
+	})
+}
--- /dev/null
+++ b/internal/exchanger/pool.go
@@ -0,0 +1,162 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+const (
+	// userTimeout is how long sent bytes may stay unacknowledged before a connection counts as dead. The round trip to
+	// the farthest server takes tens of milliseconds, which leaves time for several retransmissions.
+	userTimeout = 3 * time.Second
+	// defaultIdleTimeout is how long an idle connection is kept if the server sends no keep-alive timeout.
+	defaultIdleTimeout = 4 * timer.Second
+	// idleMargin is subtracted from the server's keep-alive timeout, so that no request is sent while the server
+	// closes the connection.
+	idleMargin = 900 * timer.Millisecond
+	// maxIdleConns is the maximum number of idle connections to one server.
+	maxIdleConns = 32
+	// tcpUserTimeoutOption is the number of the Linux socket option TCP_USER_TIMEOUT.
+	tcpUserTimeoutOption = 18
+)
+
+// Dial opens a connection to an address before the context ends.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// NewDial returns a Dial for TCP.
+func NewDial() Dial {
+	d := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, optErr)
+}
+
+// Deps are what the pools of all backend servers have in common.
+type Deps struct {
+	Now    func() timer.Millis
+	Dial   Dial
+	Limits Limits
+	Memory *Memory
+}
+
+// Pool holds the idle connections to one incarnation of a backend server; it is safe for concurrent use.
+type Pool struct {
+	deps    Deps
+	address string
+	mu      sync.Mutex
+	idle    []*Conn
+	closed  bool
+}
+
+// NewPool returns an empty pool of connections to an address.
+func NewPool(deps Deps, address string) *Pool {
+	return &Pool{deps: deps, address: address}
+}
+
+// Get returns an idle connection that is still open and has no unread data, or nil. It returns none of the excluded
+// connections.
+func (p *Pool) Get(excluded []*Conn) *Conn {
+	for {
+		c := p.take(excluded)
+		if c == nil {
+			return nil
+		}
+		if p.deps.Now()-c.lastUsedAt < c.idleTimeout && c.isUsable() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// take removes the connection that was used last and is not excluded from the pool; nil if there is none.
+func (p *Pool) take(excluded []*Conn) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !slices.Contains(excluded, c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// Open opens a new connection within the timeout, in milliseconds.
+func (p *Pool) Open(ctx context.Context, timeout timer.Millis) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	raw, err := p.deps.Dial(ctx, p.address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, p.deps.Now, p.deps.Limits, p.deps.Memory), nil
+}
+
+// Put returns a connection that carries no request to the pool.
+func (p *Pool) Put(c *Conn) {
+	if c.SetDeadline(time.Time{}) != nil || c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	c.source.wait, c.source.hasDeadline = nil, false
+	c.lastUsedAt = p.deps.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= maxIdleConns {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// PutAfter returns a connection to the pool after a response was read completely, or closes it if it cannot be reused.
+func (p *Pool) PutAfter(c *Conn, r *Response) {
+	if !r.CanReuse() {
+		_ = c.Close()
+		return
+	}
+	if r.Info.KeepAliveTimeout > 0 {
+		c.idleTimeout = max(0, r.Info.KeepAliveTimeout-idleMargin)
+	}
+	p.Put(c)
+}
+
+// SetClosed closes all idle connections and those that are put back from now on, or accepts connections again.
+func (p *Pool) SetClosed(closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = closed
+	if !closed {
+		return
+	}
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// Expire closes the connections that have exceeded their idle timeout.
+func (p *Pool) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		expired := p.deps.Now()-c.lastUsedAt >= c.idleTimeout
+		if expired {
+			_ = c.Close()
+		}
+		return expired
+	})
+}
--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	cfg := t.f.deps.Config
-	confidence := x.info.Confidence
+	confidence := x.res.Info.Confidence
 	if confidence < 0 || confidence >= cfg.MinConfidence {
 		return false
 	}
@@ -74,7 +74,7 @@
 func (t *task) logSkippedEscalation(x *exchange, reason string, estimate escalationEstimate) {
 	t.f.deps.Telemetry.Counter("requests.doubtful-kept").Inc(1)
 	t.f.deps.Telemetry.Log.Info("doubtful answer kept", "request", t.ID, "server", x.server.Name, "model", t.model,
-		"confidence", x.info.Confidence, "attempts", t.attempts, "reason", reason,
+		"confidence", x.res.Info.Confidence, "attempts", t.attempts, "reason", reason,
 		"wait-ms", int64(estimate.queueWait), "reading-ms", int64(estimate.prefill),
 		"load-percent", int(estimate.slotShare*100))
 }
--- a/internal/forwarder/crash_counts.go
+++ b/internal/forwarder/crash_counts.go
@@ -30,9 +30,9 @@
 // recordCrash counts a crash if the server accepts no connection after it received the request, and reports the
 // request to the fleet after maxCrashes crashes.
 func (t *task) recordCrash(ctx context.Context, s *server) {
-	probe, err := s.pool.dial(ctx, probeTimeout)
+	probe, err := s.pool.Open(ctx, probeTimeout)
 	if err == nil {
-		s.pool.put(probe)
+		s.pool.Put(probe)
 		return
 	}
 	digest := t.Digest()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
-	"time"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -31,9 +28,8 @@
 // exchange is one attempt at one server.
 type exchange struct {
 	server *server
-	conn   *conn
-	res    *http.Response
-	info   ResponseInfo
+	conn   *exchanger.Conn
+	res    *exchanger.Response
 	sentAt timer.Millis
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
 	urgency        int
@@ -62,11 +58,8 @@
 	connOpen := x.detachContext()
 	x.releasePrefill()
 	x.server.inFlight.Add(-1)
-	if complete && connOpen && !x.res.Close && x.conn.SetDeadline(time.Time{}) == nil {
-		if x.info.KeepAliveTimeout > 0 {
-			x.conn.idleTimeout = max(0, x.info.KeepAliveTimeout-idleMargin)
-		}
-		x.server.pool.put(x.conn)
+	if complete && connOpen {
+		x.server.pool.PutAfter(x.conn, x.res)
 	} else {
 		_ = x.conn.Close()
 	}
@@ -76,53 +69,59 @@
 // send makes one attempt and reads the header of the response. If a reused connection breaks after the request was
 // written, the server may have run the request: the outcome is attemptUnknown.
 func (t *task) send(ctx context.Context, s *server, keepWaiting func(timer.Millis) bool) (*exchange, attemptOutcome) {
-	x := &exchange{server: s}
 	now := t.f.deps.Telemetry.Clock.Now()
-	c := s.pool.get()
+	x := &exchange{server: s, sentAt: now}
+	// A copy of the response to an earlier attempt bears the same id, so no connection carries two attempts of a request.
+	c := s.pool.Get(t.usedConns)
 	if c == nil {
 		var err error
-		if c, err = s.pool.dial(ctx, min(dialTimeout, t.deadline-now)); err != nil {
+		if c, err = s.pool.Open(ctx, min(dialTimeout, t.deadline-now)); err != nil {
 			x.err = err
 			return x, attemptNotSent
 		}
 	}
-	x.conn = c
-	s.inFlight.Add(1)
-	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
-	x.prefill = x.pendingPrefill
-	s.prefillQueue.add(x.urgency, x.pendingPrefill)
-	if x.pendingPrefill >= longPrefill {
-		t.f.deps.OnLongPrefill()
-	}
-	t.f.prefixTracker.recordSent(t.prefixKey(), s.Name, now)
-	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
-	header := t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))
+	t.usedConns = append(t.usedConns, c)
+	t.begin(ctx, x, c)
+	req := exchanger.Request{ID: t.ID, Method: t.Method, Target: t.Target, Host: t.Host, Body: t.Body,
+		Header: t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))}
 	x.sentAt = t.f.deps.Telemetry.Clock.Now()
-	if err := c.writeRequest(t.Request, header); err != nil {
+	if err := c.Write(req); err != nil {
 		return t.abortAttempt(x, err)
 	}
-	if err := t.awaitResponse(x, keepWaiting); err != nil {
-		return t.abortAttempt(x, err)
-	}
-	res, info, err := c.readResponse(t.Method, t.ID, t.f.deps.Codec.ParseResponse)
+	res, err := c.ReadResponse(req, t.f.deps.Codec.ParseResponse, t.firstByteWait(x, keepWaiting))
 	if err != nil {
 		return t.abortAttempt(x, err)
 	}
-	x.res, x.info = res, info
+	x.res = res
 	now = t.f.deps.Telemetry.Clock.Now()
 	s.lastByte.Store(int64(now))
 	x.releasePrefill()
 	if t.PromptTokens > 0 {
 		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
 	}
-	s.updateLoad(info, now)
-	t.confidence = info.Confidence
-	if info.NotRun {
+	s.updateLoad(res.Info, now)
+	t.confidence = res.Info.Confidence
+	if res.Info.NotRun {
 		return x, attemptNotRun
 	}
 	return x, attemptResponded
 }
 
+// begin counts the attempt at its server.
+func (t *task) begin(ctx context.Context, x *exchange, c *exchanger.Conn) {
+	s := x.server
+	x.conn = c
+	s.inFlight.Add(1)
+	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
+	x.prefill = x.pendingPrefill
+	s.prefillQueue.add(x.urgency, x.pendingPrefill)
+	if x.pendingPrefill >= longPrefill {
+		t.f.deps.OnLongPrefill()
+	}
+	t.f.prefixTracker.recordSent(t.prefixKey(), s.Name, x.sentAt)
+	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+}
+
 // abortAttempt records the error of an attempt and closes its connection.
 func (t *task) abortAttempt(x *exchange, err error) (*exchange, attemptOutcome) {
 	x.err = err
@@ -143,23 +142,14 @@
 // responsePollInterval is the time between calls of keepWaiting while a server has not responded.
 const responsePollInterval = 100 * timer.Millisecond
 
-// awaitResponse waits for the first byte of a response while keepWaiting returns true; keepWaiting receives the time
-// since the request was sent, in milliseconds. The end of the context closes the connection.
-func (t *task) awaitResponse(x *exchange, keepWaiting func(timer.Millis) bool) error {
+// firstByteWait waits for the first byte of a response while keepWaiting returns true; keepWaiting receives the time
+// since the request was sent, in milliseconds. A nil keepWaiting waits until the end of the context closes the
+// connection.
+func (t *task) firstByteWait(x *exchange, keepWaiting func(timer.Millis) bool) exchanger.Wait {
 	if keepWaiting == nil {
 		return nil
 	}
-	for {
-		if err := x.conn.SetReadDeadline(time.Now().Add(responsePollInterval.Duration())); err != nil {
-			return err
-		}
-		_, err := x.conn.reader.Peek(1)
-		if err == nil {
-			return x.conn.SetReadDeadline(time.Time{})
-		}
-		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() || !keepWaiting(t.f.deps.Telemetry.Clock.Now()-x.sentAt) {
-			return err
-		}
+	return func(now timer.Millis) (timer.Millis, bool) {
+		return now + responsePollInterval, keepWaiting(now - x.sentAt)
 	}
 }
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -32,14 +32,11 @@
 		delete(previous, m.Name)
 		if m.State == registrar.MemberStateServing {
 			view.servers[m.Service] = append(view.servers[m.Service], s)
-			continue
-		}
-		if m.State != registrar.MemberStateSilent {
-			s.pool.close()
 		}
+		s.pool.SetClosed(m.State != registrar.MemberStateServing && m.State != registrar.MemberStateSilent)
 	}
 	for _, s := range previous {
-		s.pool.close()
+		s.pool.SetClosed(true)
 	}
 	for _, list := range view.servers {
 		slices.SortFunc(list, func(a, b *server) int { return int(a.Incarnation - b.Incarnation) })
@@ -57,9 +54,9 @@
 func (f *Forwarder) serverFor(old *server, m registrar.Member) *server {
 	if old == nil || old.Incarnation != m.Incarnation || old.Address != m.Address {
 		if old != nil {
-			old.pool.close()
+			old.pool.SetClosed(true)
 		}
-		return newServer(m, f.deps.Telemetry.Clock.Now, f.deps.Dial)
+		return newServer(m, f.exchange)
 	}
 	if old.State == m.State && old.Version == m.Version && old.Slots == m.Slots && old.Service == m.Service {
 		return old
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gopkg.in/tomb.v2"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -29,6 +30,10 @@
 	MinConfidence int
 	// ConfidenceGain is the expected gain in confidence from the next larger model, in the same points.
 	ConfidenceGain int
+	// Answers bounds what one backend server may send, and MaxBufferedBytes what all of them together may make this
+	// instance hold, in bytes.
+	Answers          exchanger.Limits
+	MaxBufferedBytes int64
 }
 
 // Deps are the dependencies of a forwarder.
@@ -36,7 +41,7 @@
 	Telemetry  observer.Telemetry
 	DataCentre string
 	Codec      Codec
-	Dial       Dial
+	Dial       exchanger.Dial
 	Config     Config
 	// OnCrashingRequest is called with the digest of a request that has crashed several backend servers.
 	OnCrashingRequest func(digest uint64)
@@ -47,6 +52,7 @@
 // Forwarder places and forwards the requests of an entry instance.
 type Forwarder struct {
 	deps              Deps
+	exchange          exchanger.Deps
 	fleetView         atomic.Pointer[fleetView]
 	serversByName     map[string]*server
 	retryBudget       *retryBudget
@@ -72,6 +78,8 @@
 		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
 		firstByteLatency:   deps.Telemetry.Histogram("requests.first-byte-ms"),
+		exchange: exchanger.Deps{Now: deps.Telemetry.Clock.Now, Dial: deps.Dial, Limits: deps.Config.Answers,
+			Memory: exchanger.NewMemory(deps.Config.MaxBufferedBytes)},
 	}
 	f.fleetView.Store(&fleetView{})
 	return f
@@ -101,7 +109,7 @@
 		f.sessions.removeExpired(f.deps.Telemetry.Clock.Now())
 		for _, list := range f.fleetView.Load().servers {
 			for _, s := range list {
-				s.pool.expire()
+				s.pool.Expire()
 			}
 		}
 	}
@@ -155,7 +163,9 @@
 	sessionOnTarget bool
 	avoidedTarget   string
 	lastServer      *server
-	writer          *writer
+	// usedConns are the connections that have carried an attempt.
+	usedConns []*exchanger.Conn
+	writer    *writer
 	// cachedPrefixKey is the result of prefixKey for cachedPrefixModel; 0 until it is computed.
 	cachedPrefixKey   uint64
 	cachedPrefixModel string
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -88,8 +89,8 @@
 			}
 			return h
 		},
-		ParseResponse: func(res *http.Response) ResponseInfo {
-			info := ResponseInfo{RequestID: res.Header.Get("Id"), NotRun: res.Header.Get("Refused") != "", Confidence: -1}
+		ParseResponse: func(res *http.Response) exchanger.Info {
+			info := exchanger.Info{RequestID: res.Header.Get("Id"), NotRun: res.Header.Get("Refused") != "", Confidence: -1}
 			if c, err := strconv.Atoi(res.Header.Get("Confidence")); err == nil {
 				info.Confidence = c
 			}
@@ -104,7 +105,9 @@
 	e.f = NewForwarder(Deps{
 		Telemetry: observer.NewDiscard(timer.NewSystemClock()), DataCentre: "a", Codec: testCodec(), Dial: e.dial,
 		Config: Config{RetryRatio: 1, RetryBurst: 20, RetryWindow: 10 * timer.Second, SessionTTL: 5 * timer.Second,
-			MinConfidence: 60, ConfidenceGain: 14},
+			MinConfidence: 60, ConfidenceGain: 14, MaxBufferedBytes: 16 << 20, Answers: exchanger.Limits{
+				MaxHeadBytes: 64 << 10, HeadTimeout: 3 * timer.Second, MaxSkippedBytes: 1 << 20, MaxBodyBytes: 8 << 20,
+				MaxEventBytes: 256 << 10, MinBodyRate: 16 << 10, BodyGrace: 2 * timer.Second}},
 		OnCrashingRequest: func(d uint64) { e.mu.Lock(); e.crashed = append(e.crashed, d); e.mu.Unlock() },
 		OnLongPrefill:     func() {},
 	})
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-const (
-	// maxResponseBytes bounds a response that is buffered until it is complete.
-	maxResponseBytes = 8 << 20
-	// plainWaitPercent is the part of the time target after which an idempotent request is retried at another server,
-	// in percent.
-	plainWaitPercent = 90
-)
+// plainWaitPercent is the part of the time target after which an idempotent request is retried at another server, in
+// percent.
+const plainWaitPercent = 90
 
 // runPlain serves a request with a response that is not a stream.
 func (t *task) runPlain(ctx context.Context) *Refusal {
@@ -49,16 +44,17 @@
 // relayPlain reads the complete response and sends it to the caller; done means that no other attempt is needed.
 func (t *task) relayPlain(x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
-	body, err := io.ReadAll(io.LimitReader(x.res.Body, maxResponseBytes+1))
+	body, err := x.res.ReadBody(t.canRetryRun)
 	now := t.f.deps.Telemetry.Clock.Now()
-	if err != nil || len(body) > maxResponseBytes || x.res.Header.Get("Content-Encoding") != "" {
+	if err != nil {
 		t.mayHaveRun = true
 		x.server.recordFailure(now, true)
 		t.recordBrokenConn(x.server, now)
 		t.f.deps.Telemetry.Log.Warn("answer is incomplete or invalid", "request", t.ID, "server", x.server.Name,
-			"error", err, "bytes", len(body))
+			"error", err)
 		return !t.canRetry(), t.badGatewayRefusal("the backend server's answer broke off")
 	}
+	defer body.Free()
 	x.release(true)
 	took := now - x.sentAt
 	if x.res.StatusCode >= http.StatusInternalServerError {
@@ -68,18 +64,18 @@
 		if t.canRetry() {
 			return false, nil
 		}
-		t.writeWholeResponse(x, body, now)
+		t.writeWholeResponse(x, body.Bytes, now)
 		return true, nil
 	}
 	x.server.recordSuccess()
 	t.f.recordFirstByte(t, x, took)
-	t.writeWholeResponse(x, body, now)
+	t.writeWholeResponse(x, body.Bytes, now)
 	return true, nil
 }
 
 // writeWholeResponse sends a complete response to the caller.
 func (t *task) writeWholeResponse(x *exchange, body []byte, now timer.Millis) {
-	if err := t.writer.writeWhole(x.res, body, now); err != nil {
+	if err := t.writer.writeWhole(x.res.Response, body, now); err != nil {
 		t.f.deps.Telemetry.Counter("requests.caller-left").Inc(1)
 	}
 }
@@ -92,7 +88,16 @@
 // canRetry reports whether the request may be sent again: it is idempotent or has not run, and its attempt limit, its
 // deadline and the retry budget allow another attempt.
 func (t *task) canRetry() bool {
-	return (!t.mayHaveRun || t.route.IsRetryable()) && t.attempts < t.route.MaxAttempts &&
+	return (!t.mayHaveRun || t.route.IsRetryable()) && t.hasAttemptLeft()
+}
+
+// canRetryRun reports whether a request that a server runs now may be sent again.
+func (t *task) canRetryRun() bool {
+	return t.route.IsRetryable() && t.hasAttemptLeft()
+}
+
+func (t *task) hasAttemptLeft() bool {
+	return t.attempts < t.route.MaxAttempts &&
 		t.f.deps.Telemetry.Clock.Now() < t.deadline && t.f.retryBudget.hasToken()
 }
 
@@ -103,7 +108,7 @@
 	switch o {
 	case attemptNotRun:
 		status := x.res.StatusCode
-		_, err := io.Copy(io.Discard, io.LimitReader(x.res.Body, maxResponseBytes))
+		err := x.res.Discard()
 		x.release(err == nil)
 		x.server.recordRefusal(now, status)
 	case attemptNotSent:
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -69,26 +70,12 @@
 	LastEventID string
 }
 
-// ResponseInfo holds what the header of a backend server's response reports.
-type ResponseInfo struct {
-	// RequestID is the id of the request that the response belongs to, empty if it is not given.
-	RequestID string
-	// NotRun is true if the server did not run the request.
-	NotRun bool
-	// Running, Waiting and Slots are the server's load; Slots is 0 if it is not given.
-	Running, Waiting, Slots int
-	// Confidence is the model's confidence in the response, from 0 to 100; -1 if it is not given.
-	Confidence int
-	// KeepAliveTimeout is the server's keep-alive timeout, in milliseconds; 0 if it is not given.
-	KeepAliveTimeout timer.Millis
-}
-
 // Codec translates between requests and the headers of the platform's protocol.
 type Codec struct {
 	// RequestHeader returns the header of a request to a backend server.
 	RequestHeader func(*Request, AttemptInfo) http.Header
 	// ParseResponse decodes the header of a response.
-	ParseResponse func(*http.Response) ResponseInfo
+	ParseResponse exchanger.Inspect
 }
 
 // Refusal is an error response that the system generates itself.
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -40,7 +41,7 @@
 // serverState is what this instance has collected about one incarnation of a backend server.
 type serverState struct {
 	nameHash uint64
-	pool     *pool
+	pool     *exchanger.Pool
 
 	inFlight     atomic.Int64
 	prefillQueue prefillQueue
@@ -63,9 +64,9 @@
 	relativeFirstByte movingAverage
 }
 
-func newServer(m registrar.Member, now func() timer.Millis, dial Dial) *server {
+func newServer(m registrar.Member, deps exchanger.Deps) *server {
 	return &server{Member: m, serverState: &serverState{nameHash: xxhash.Sum64String(m.Name),
-		pool: &pool{address: m.Address, now: now, dialFunc: dial}}}
+		pool: exchanger.NewPool(deps, m.Address)}}
 }
 
 // withMember returns the server with a newer announcement and the same state.
@@ -86,7 +87,7 @@
 }
 
 // updateLoad stores the load that a response reports.
-func (s *server) updateLoad(info ResponseInfo, now timer.Millis) {
+func (s *server) updateLoad(info exchanger.Info, now timer.Millis) {
 	if info.Slots == 0 {
 		return
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -1,21 +1,16 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 const (
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 256 << 10
-	// streamBufferSize is the initial size of the buffer for reading a stream, in bytes.
-	streamBufferSize = 4096
 	// deadTimeout is the time without a byte from a server on any connection of this instance after which a waiting
 	// stream is moved.
 	deadTimeout = 700 * timer.Millisecond
@@ -27,8 +22,6 @@
 	gapFactor = 2
 )
 
-var errLongEvent = errors.New("an event of the stream exceeds the size limit")
-
 // runStream relays a stream event by event and resumes it at another server if the route allows that.
 func (t *task) runStream(ctx context.Context) *Refusal {
 	for {
@@ -110,7 +103,7 @@
 	t.mayHaveRun = true
 	if current := t.model; t.escalate(x) {
 		t.f.deps.Telemetry.Log.Info("larger model asked", "request", t.ID, "server", x.server.Name, "model", current,
-			"confidence", x.info.Confidence, "since-sent-ms", int64(t.f.deps.Telemetry.Clock.Now()-x.sentAt), "next", t.model)
+			"confidence", x.res.Info.Confidence, "since-sent-ms", int64(t.f.deps.Telemetry.Clock.Now()-x.sentAt), "next", t.model)
 		x.release(false)
 		x.server.recordSuccess()
 		t.f.recordFirstByte(t, x, t.f.deps.Telemetry.Clock.Now()-x.sentAt)
@@ -143,40 +136,23 @@
 // relayEvents sends each event to the caller as soon as it is complete; it returns nil at the regular end of the
 // stream.
 func (t *task) relayEvents(x *exchange) error {
-	buf := make([]byte, 0, streamBufferSize)
-	first := true
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		x.conn.setStreamDeadline(t, first)
-		n, err := x.res.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		now := t.f.deps.Telemetry.Clock.Now()
-		if n > 0 {
-			x.server.lastByte.Store(int64(now))
-		}
-		if complete := completeEventsLen(buf); complete > 0 {
-			if first {
-				first = false
-				t.f.recordFirstByte(t, x, now-x.sentAt)
-			}
-			if writeErr := t.writeEvents(x, buf[:complete], now); writeErr != nil {
-				return writeErr
-			}
-			buf = append(buf[:0], buf[complete:]...)
-		}
+	reader := x.res.Events(t.eventWait())
+	defer reader.Free()
+	for first := true; ; first = false {
+		events, err := reader.Next()
 		switch {
-		case err == io.EOF && len(buf) > 0 && t.writer.status != 0:
-			return io.ErrUnexpectedEOF
-		case err == io.EOF && first:
-			return io.ErrUnexpectedEOF
 		case err == io.EOF:
 			return nil
 		case err != nil:
 			return err
-		case len(buf) > maxEventBytes:
-			return errLongEvent
+		}
+		now := t.f.deps.Telemetry.Clock.Now()
+		x.server.lastByte.Store(int64(now))
+		if first {
+			t.f.recordFirstByte(t, x, now-x.sentAt)
+		}
+		if err := t.writeEvents(x, events, now); err != nil {
+			return err
 		}
 	}
 }
@@ -184,59 +160,28 @@
 // writeEvents sends complete events to the caller.
 func (t *task) writeEvents(x *exchange, events []byte, now timer.Millis) error {
 	if t.writer.status == 0 {
-		t.writer.writeHead(x.res, -1, now)
+		t.writer.writeHead(x.res.Response, -1, now)
 	}
 	if err := t.writer.writeChunk(events); err != nil {
 		return errCallerLeft
 	}
-	if id := lastEventID(events); id != "" {
+	if id := exchanger.LastEventID(events); id != "" {
 		t.LastEventID = id
 	}
 	return nil
 }
 
-// setStreamDeadline bounds the wait for the next bytes of a stream.
-func (c *conn) setStreamDeadline(t *task, awaitsFirst bool) {
-	timeout := gapFactor * t.route.TargetGap
-	if awaitsFirst || timeout == 0 {
-		timeout = firstEventFactor * t.route.TargetLatency
-	}
-	if !t.route.IsRetryable() || t.attempts >= t.route.MaxAttempts {
-		timeout = t.route.Timeout
-	}
-	_ = c.SetReadDeadline(time.Now().Add(timeout.Duration()))
-}
-
-// completeEventsLen returns the length of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	lf := bytes.LastIndex(b, []byte("\n\n"))
-	crlf := bytes.LastIndex(b, []byte("\r\n\r\n"))
-	length := 0
-	if lf >= 0 {
-		length = lf + 2
-	}
-	if crlf >= 0 {
-		length = max(length, crlf+4)
-	}
-	return length
-}
-
-// lastEventID returns the id of the last event that has one, or an empty string.
-func lastEventID(events []byte) string {
-	prefix := []byte("id:")
-	for end := len(events); end > 0; {
-		i := bytes.LastIndex(events[:end], prefix)
-		if i < 0 {
-			return ""
+// eventWait bounds the wait for the next event while another server could go on with the stream. Otherwise, a late event
+// is better than none.
+func (t *task) eventWait() exchanger.EventWait {
+	return func(lastEventAt, now timer.Millis, hasEvents bool) (timer.Millis, bool) {
+		timeout := gapFactor * t.route.TargetGap
+		if !hasEvents || timeout == 0 {
+			timeout = firstEventFactor * t.route.TargetLatency
 		}
-		if i == 0 || events[i-1] == '\n' {
-			line := events[i+len(prefix):]
-			if j := bytes.IndexAny(line, "\r\n"); j >= 0 {
-				line = line[:j]
-			}
-			return string(bytes.TrimSpace(line))
+		if due := lastEventAt + timeout; now < due {
+			return due, true
 		}
-		end = i
+		return now + timeout, !t.canRetryRun()
 	}
-	return ""
 }
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
@@ -124,7 +125,7 @@
 }
 
 func TestServerIsSuspendedAfterConsecutiveFailures(t *testing.T) {
-	s := newServer(registrar.Member{Name: "s"}, func() timer.Millis { return 0 }, nil)
+	s := newServer(registrar.Member{Name: "s"}, exchanger.Deps{})
 	s.recordFailure(0, true)
 	if suspended, _ := s.availability(1); suspended {
 		t.Fatal("one failure suspended the server")
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/forwarder"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
@@ -63,11 +64,12 @@
 func NewEntry(telemetry observer.Telemetry, settings configurer.Settings) (*Entry, error) {
 	e := &Entry{telemetry: telemetry, settings: settings}
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
-		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(), Dial: forwarder.NewDial(),
+		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(), Dial: exchanger.NewDial(),
 		Config: forwarder.Config{
 			RetryRatio: float64(settings.Retries.Share), RetryBurst: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionTTL: settings.Session.Span,
 			MinConfidence: int(float64(settings.Cascade.Confidence) * percent), ConfidenceGain: int(float64(settings.Cascade.Lift) * percent),
+			Answers: answerLimits(settings), MaxBufferedBytes: int64(settings.Answers.MaxBuffered),
 		},
 		OnCrashingRequest: func(digest uint64) { e.subscriber.ReportCrashingRequest(digest) },
 		OnLongPrefill:     func() { e.subscriber.SendPrefillNow() },
@@ -100,6 +102,15 @@
 	return e, err
 }
 
+// answerLimits returns the limits of what one backend server may send.
+func answerLimits(s configurer.Settings) exchanger.Limits {
+	return exchanger.Limits{
+		MaxHeadBytes: int64(s.Answers.MaxHead), HeadTimeout: s.Answers.HeadTimeout, MaxSkippedBytes: int64(s.Answers.MaxSkipped),
+		MaxBodyBytes: int64(s.Limits.MaxAnswer), MaxEventBytes: int(s.Limits.MaxEvent),
+		MinBodyRate: int64(s.Answers.MinRate), BodyGrace: s.Answers.Grace,
+	}
+}
+
 func (e *Entry) listen(address decoder.Address, h http.Handler) (*listener, error) {
 	l, err := listenOn(address, e.settings)
 	if err != nil {
