Do not count refused connections as attempts, and share the failures of servers between instances

Each refused connection counted as an attempt, so a request was refused within 2 ms after three of them, while half of the pool stood (137 refusals); and each of 94 instances had to find out about each server by a request of its own: 1,000 refused connections and 270 stalled attempts in 8 s. At 16 instances a server is found out 16 times. Change: an attempt and its retry token count when a server accepts the connection; 8 failed connections refuse a request. A connection is given up after 300 ms in place of 600. An instance that finds a server refusing connections, or suspends it, raises an alarm; a control instance passes on the first refusal at once, and other failures when two instances report them, so the rest suspend the server for 1.2 s unless it has just sent them bytes. Ruled out: the policy's attempt limit, which counts servers that got the request. A pool that is open again: test.

--- /dev/null
+++ b/internal/forwarder/alarms_test.go
@@ -0,0 +1,100 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
+)
+
+func replyDone(_ int, r *http.Request, w io.Writer) bool {
+	return write(w, reply(r.Header.Get("Id"), "done"))
+}
+
+// Most of a pool has crashed at once and refuses connections. Nothing has reached those servers, so neither the attempt
+// limit nor the retry budget keeps a request from the rest of the pool.
+func TestRefusedConnectionsAreNoAttempts(t *testing.T) {
+	kinds := map[string]matcher.RouteKind{"idempotent": matcher.KindIdempotent, "at most once": matcher.KindAtMostOnce}
+	for name, kind := range kinds {
+		t.Run(name, func(t *testing.T) {
+			servers := map[string]*fakeServer{}
+			for n := range 8 {
+				servers[fmt.Sprintf("s%d", n)] = &fakeServer{respond: replyDone, down: n > 0}
+			}
+			env := newTestEnv(t, matcher.Route{Kind: kind}, servers)
+			env.f.retryBudget.tokens, env.f.retryBudget.config.RetryBurst, env.f.retryBudget.config.RetryRatio = 0, 0, 0
+			rec, brokenOff := env.serve(Request{})
+			if brokenOff || rec.Code != http.StatusOK || env.sentRequests() != 1 {
+				t.Fatalf("status %d after %d requests, want an answer", rec.Code, env.sentRequests())
+			}
+		})
+	}
+}
+
+// A whole pool is down: the request is refused at once, not at its deadline, and the promise that it has not run holds.
+func TestPoolThatIsDownRefusesAtOnce(t *testing.T) {
+	servers := map[string]*fakeServer{}
+	for n := range 20 {
+		servers[fmt.Sprintf("s%d", n)] = &fakeServer{respond: replyDone, down: true}
+	}
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindAtMostOnce}, servers)
+	startedAt := env.f.deps.Telemetry.Clock.Now()
+	rec, _ := env.serve(Request{})
+	if took := env.f.deps.Telemetry.Clock.Now() - startedAt; rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Retry-After") == "" || took > 300 {
+		t.Fatalf("status %d, Retry-After %q after %d ms", rec.Code, rec.Header().Get("Retry-After"), took)
+	}
+}
+
+// One instance finds a crashed server; the others must not send it a request to find out by themselves.
+func TestAlarmSuspendsServer(t *testing.T) {
+	down := &fakeServer{respond: replyDone, down: true}
+	servers := map[string]*fakeServer{"down": down, "up": {respond: replyDone}}
+	finder := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, servers)
+	for n := 0; len(finder.alarms) == 0 && n < 50; n++ {
+		finder.serve(Request{ID: fmt.Sprint("a", n)})
+	}
+	want := messenger.ServerAlarm{Server: "down", Incarnation: 1, Refused: true}
+	if len(finder.alarms) != 1 || finder.alarms[0] != want {
+		t.Fatalf("alarms %+v, want one: %+v", finder.alarms, want)
+	}
+	tests := map[string]struct {
+		alarm       messenger.ServerAlarm
+		justReplied bool
+		suspended   bool
+	}{
+		"the server is suspended":           {alarm: want, suspended: true},
+		"it has just sent bytes":            {alarm: want, justReplied: true},
+		"the alarm is of an earlier start":  {alarm: messenger.ServerAlarm{Server: "down", Incarnation: 0, Refused: true}},
+		"the alarm is of an unknown server": {alarm: messenger.ServerAlarm{Server: "other", Incarnation: 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, servers)
+			now := env.f.deps.Telemetry.Clock.Now()
+			if tt.justReplied {
+				env.f.serversByName["down"].lastByte.Store(int64(now))
+			}
+			env.f.SuspendServers([]messenger.ServerAlarm{tt.alarm})
+			if suspended, _ := env.f.serversByName["down"].availability(now + 1); suspended != tt.suspended {
+				t.Fatalf("suspended %t, want %t", suspended, tt.suspended)
+			}
+		})
+	}
+}
+
+// A server is announced as serving again after it has drained: its connections must be kept again.
+func TestServerThatServesAgainKeepsConnections(t *testing.T) {
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s": {respond: replyDone}})
+	for _, state := range []registrar.MemberState{registrar.MemberStateLeaving, registrar.MemberStateServing} {
+		env.members[0].State = state
+		env.publishView()
+	}
+	env.serve(Request{})
+	if env.f.serversByName["s"].pool.Get(nil) == nil {
+		t.Fatal("the connection was not kept")
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -7,9 +7,13 @@
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// dialTimeout is the time limit for opening a connection. A lost SYN is retransmitted after one second, so trying
-// another server is faster than waiting.
-const dialTimeout = 600 * timer.Millisecond
+const (
+	// dialTimeout is the time limit for opening a connection. The round trip to the farthest server takes tens of
+	// milliseconds and a lost SYN is retransmitted after one second, so trying another server is faster than waiting.
+	dialTimeout = 300 * timer.Millisecond
+	// maxFailedDials is the number of servers that a request fails to connect to before it is refused.
+	maxFailedDials = 8
+)
 
 // attemptOutcome is the result of one attempt.
 type attemptOutcome uint8
@@ -81,6 +85,7 @@
 		}
 	}
 	t.usedConns = append(t.usedConns, c)
+	t.countAttempt()
 	t.begin(ctx, x, c)
 	req := exchanger.Request{ID: t.ID, Method: t.Method, Target: t.Target, Host: t.Host, Body: t.Body,
 		Header: t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))}
@@ -107,7 +112,15 @@
 	return x, attemptResponded
 }
 
-// begin counts the attempt at its server.
+// countAttempt counts an attempt against the attempt limit and the retry budget. A server that accepts no connection
+// gets no request, so it is not counted.
+func (t *task) countAttempt() {
+	if t.attempts++; t.attempts > 1 {
+		t.f.retryBudget.withdraw()
+	}
+}
+
+// begin registers the attempt at its server.
 func (t *task) begin(ctx context.Context, x *exchange, c *exchanger.Conn) {
 	s := x.server
 	x.conn = c
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -45,6 +46,8 @@
 	Config     Config
 	// OnCrashingRequest is called with the digest of a request that has crashed several backend servers.
 	OnCrashingRequest func(digest uint64)
+	// OnServerAlarm is called when a server fails in a way that concerns all instances; it must not block.
+	OnServerAlarm func(messenger.ServerAlarm)
 	// OnLongPrefill is called when a prompt with a long prefill is sent to a server.
 	OnLongPrefill func()
 }
@@ -150,7 +153,8 @@
 	// deadline is the earlier of the caller's and the route's time limit, in milliseconds.
 	deadline timer.Millis
 	tried    map[string]bool
-	attempts int
+	// attempts counts the servers that got the request, and failedDials those that accepted no connection.
+	attempts, failedDials int
 	// mayHaveRun is true if some backend server may have run the request.
 	mayHaveRun bool
 	model      string
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,17 +10,19 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-var errRefused = errors.New("connection refused")
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 
 // fakeServer is a fake backend server: respond writes the raw response and reports whether the connection stays open.
 type fakeServer struct {
@@ -72,6 +73,7 @@
 	members []registrar.Member
 	policy  *matcher.Policy
 	crashed []uint64
+	alarms  []messenger.ServerAlarm
 	mu      sync.Mutex
 }
 
@@ -109,6 +111,7 @@
 				MaxHeadBytes: 64 << 10, HeadTimeout: 3 * timer.Second, MaxSkippedBytes: 1 << 20, MaxBodyBytes: 8 << 20,
 				MaxEventBytes: 256 << 10, MinBodyRate: 16 << 10, BodyGrace: 2 * timer.Second}},
 		OnCrashingRequest: func(d uint64) { e.mu.Lock(); e.crashed = append(e.crashed, d); e.mu.Unlock() },
+		OnServerAlarm:     func(a messenger.ServerAlarm) { e.mu.Lock(); e.alarms = append(e.alarms, a); e.mu.Unlock() },
 		OnLongPrefill:     func() {},
 	})
 	route.Name, route.Host, route.PathPrefix, route.AuthExempt = "r", "h", "/", true
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -31,7 +31,7 @@
 	slotWaitPercent = 60
 )
 
-// acquireServer waits for a server with a free slot and counts the attempt.
+// acquireServer waits for a server with a free slot.
 func (t *task) acquireServer(ctx context.Context) (*server, *Refusal) {
 	if t.hasCrashedServers() {
 		return nil, t.badGatewayRefusal("this request has crashed backend servers")
@@ -44,11 +44,7 @@
 		s, reason := t.pickServer(now)
 		if s != nil {
 			t.tried[s.Name] = true
-			t.attempts++
 			t.lastServer = s
-			if t.attempts > 1 {
-				t.f.retryBudget.withdraw()
-			}
 			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
 			return s, nil
 		}
@@ -59,7 +55,7 @@
 			return nil, t.timeoutRefusal()
 		}
 		t.view = t.f.fleetView.Load()
-		if t.attempts > 0 && len(t.tried) > 0 {
+		if len(t.tried) > 0 {
 			// Servers that were full earlier may have a free slot now.
 			clear(t.tried)
 			t.tried[t.lastServer.Name] = true
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -48,7 +50,7 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	if err != nil {
 		t.mayHaveRun = true
-		x.server.recordFailure(now, true)
+		t.recordServerFailure(x.server, now)
 		t.recordBrokenConn(x.server, now)
 		t.f.deps.Telemetry.Log.Warn("answer is incomplete or invalid", "request", t.ID, "server", x.server.Name,
 			"error", err)
@@ -59,7 +61,7 @@
 	took := now - x.sentAt
 	if x.res.StatusCode >= http.StatusInternalServerError {
 		t.mayHaveRun = true
-		x.server.recordFailure(now, true)
+		t.recordServerFailure(x.server, now)
 		t.recordBadResponse(x.server)
 		if t.canRetry() {
 			return false, nil
@@ -97,10 +99,23 @@
 }
 
 func (t *task) hasAttemptLeft() bool {
-	return t.attempts < t.route.MaxAttempts &&
+	return t.attempts < t.route.MaxAttempts && t.failedDials < maxFailedDials &&
 		t.f.deps.Telemetry.Clock.Now() < t.deadline && t.f.retryBudget.hasToken()
 }
 
+// canDialAgain reports whether a request that no server has got may be sent to another one.
+func (t *task) canDialAgain() bool {
+	return t.attempts == 0 && t.failedDials < maxFailedDials && t.f.deps.Telemetry.Clock.Now() < t.deadline
+}
+
+// recordServerFailure counts a failure of a server that accepted the connection, and reports the server to the fleet if
+// it is suspended for it.
+func (t *task) recordServerFailure(s *server, now timer.Millis) {
+	if s.recordFailure(now, true) {
+		t.f.reportAlarm(s, now, false)
+	}
+}
+
 // handleFailedAttempt records an attempt without a response; it returns nil if the request is to be retried, otherwise
 // the refusal.
 func (t *task) handleFailedAttempt(ctx context.Context, x *exchange, o attemptOutcome) *Refusal {
@@ -112,11 +127,13 @@
 		x.release(err == nil)
 		x.server.recordRefusal(now, status)
 	case attemptNotSent:
+		t.failedDials++
 		x.server.recordFailure(now, false)
+		t.f.reportAlarm(x.server, now, errors.Is(x.err, syscall.ECONNREFUSED))
 	case attemptUnknown:
 		t.mayHaveRun = true
 		if ctx.Err() == nil {
-			x.server.recordFailure(now, true)
+			t.recordServerFailure(x.server, now)
 			t.recordBrokenConn(x.server, now)
 			t.recordCrash(ctx, x.server)
 		}
@@ -126,7 +143,7 @@
 	}
 	t.f.deps.Telemetry.Log.Info("attempt failed", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
 		"outcome", o, "error", x.err, "since-sent-ms", int64(now-x.sentAt), "load", x.server.load(now))
-	if t.canRetry() {
+	if t.canRetry() || o == attemptNotSent && t.canDialAgain() {
 		return nil
 	}
 	if t.mayHaveRun {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -47,6 +47,8 @@
 	prefillQueue prefillQueue
 	// lastByte is the time of the last read from the server, in milliseconds.
 	lastByte atomic.Int64
+	// alarmedAt is the time of the last alarm about the server that this instance reported, in milliseconds.
+	alarmedAt atomic.Int64
 	// incidentAt is the start of the last incident of broken connections, in milliseconds.
 	incidentAt atomic.Int64
 
@@ -109,10 +111,11 @@
 }
 
 // recordFailure counts a failure. It suspends the server if it could not be reached, after consecutive failures, or if
-// its failure rate is too high.
-func (s *server) recordFailure(now timer.Millis, reachable bool) {
+// its failure rate is too high, and reports whether it did.
+func (s *server) recordFailure(now timer.Millis, reachable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.suspendedUntil
 	s.consecutiveFailures++
 	s.outcomeSamples++
 	s.failureRate += averageWeight * (1 - s.failureRate)
@@ -123,6 +126,14 @@
 		s.suspendedUntil = max(s.suspendedUntil, now+outlierSuspension)
 		s.failureRate = outlierFailureRate
 	}
+	return s.suspendedUntil > before
+}
+
+// suspendUntil suspends the server at least until the given time.
+func (s *server) suspendUntil(until timer.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspendedUntil = max(s.suspendedUntil, until)
 }
 
 // availability returns whether the server is suspended and its relative time to the first byte; 1 is as usual.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -97,7 +97,7 @@
 			return t.relayPlain(x)
 		}
 		t.mayHaveRun = true
-		x.server.recordFailure(t.f.deps.Telemetry.Clock.Now(), true)
+		t.recordServerFailure(x.server, t.f.deps.Telemetry.Clock.Now())
 		return !t.canRetry(), t.badGatewayRefusal("the stream could not go on elsewhere")
 	}
 	t.mayHaveRun = true
@@ -121,7 +121,7 @@
 	if ctx.Err() != nil || errors.Is(err, errCallerLeft) {
 		return true, t.timeoutRefusal()
 	}
-	x.server.recordFailure(now, true)
+	t.recordServerFailure(x.server, now)
 	t.recordBrokenConn(x.server, now)
 	t.f.deps.Telemetry.Log.Info("stream broke", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
 		"last-event", t.LastEventID, "error", err, "after-ms", int64(now-x.sentAt))
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -72,6 +72,7 @@
 			Answers: answerLimits(settings), MaxBufferedBytes: int64(settings.Answers.MaxBuffered),
 		},
 		OnCrashingRequest: func(digest uint64) { e.subscriber.ReportCrashingRequest(digest) },
+		OnServerAlarm:     func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
 		OnLongPrefill:     func() { e.subscriber.SendPrefillNow() },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
@@ -81,6 +82,7 @@
 		Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
 		PendingPrefill: e.forwarder.PendingPrefill, SetOthersPrefill: e.forwarder.SetOthersPrefill,
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
+		SuspendServers: e.forwarder.SuspendServers,
 	})
 	handler := platform.RequestHandler{
 		Telemetry: telemetry, Limits: e.forwarder.Limits, ClosesConnections: e.stopping.Load,
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -46,6 +46,8 @@
 	base.Record.Found, base.Record.Losses, base.Record.Voters, base.Record.ReplaceAfter = true, 1, 3, 6*timer.Second
 	base.Servers.Silence, base.Servers.Forget = 5*timer.Second, timer.Minute
 	base.Limits.HeaderWait, base.Limits.MaxHeader = timer.Second, 64<<10
+	base.Limits.MaxAnswer, base.Limits.MaxEvent = 1<<20, 64<<10
+	base.Answers = configurer.Answers{MaxHead: 64 << 10, HeadTimeout: timer.Second, MaxSkipped: 1 << 20, MaxBuffered: 4 << 20, MinRate: 1 << 10, Grace: timer.Second}
 	base.Session.Span, base.Stop.Limit = 5*timer.Second, 2*timer.Second
 	base.Retries.Share, base.Retries.Slack, base.Retries.Window = 0.5, 3, 10*timer.Second
 	telemetry := observer.NewDiscard(timer.NewSystemClock())
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -57,11 +57,21 @@
 	HasPendingPrefill    bool             `cbor:"15,keyasint,omitempty"`
 	// OldVersionSessions lists the sessions that stay on the old version in the first half of a roll-out.
 	OldVersionSessions []uint64 `cbor:"16,keyasint,omitempty"`
+	// ServerAlarms lists backend servers that fail.
+	ServerAlarms []ServerAlarm `cbor:"17,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
 }
 
+// ServerAlarm reports that one incarnation of a backend server fails the requests of an entry instance. Refused means that
+// its address refuses connections, which holds for every instance.
+type ServerAlarm struct {
+	Server      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Refused     bool   `cbor:"3,keyasint,omitempty"`
+}
+
 // Call is a request to the leader of the record; exactly one field besides ID is set.
 type Call struct {
 	ID          uint64           `cbor:"1,keyasint"`
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -96,6 +96,8 @@
 	// oldVersionSessions are the sessions that stay on the old version; instances that connect later get them too.
 	oldVersionSessions map[uint64]bool
 	prefillTimer       <-chan timer.Tick
+	alarms             *alarmBoard
+	alarmTimer         <-chan timer.Tick
 	stopping           bool
 	unconfirmedServers unconfirmedServers
 	// rosterDirty is true if the roster has changed since rosterSavedAt, when it was last passed to rosterSaves.
@@ -112,7 +114,7 @@
 		connections: map[*messenger.Link]messenger.Greeting{}, seeds: deps.Seeds, addressSeenAt: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), announcedHere: map[string]lastAnnouncement{},
 		notServingSince:  map[string]timer.Millis{},
-		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, outcomes: map[string][]messenger.Outcomes{},
+		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		crashingRequests: map[uint64]bool{}, pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
@@ -199,8 +201,12 @@
 		case <-s.prefillTimer:
 			s.prefillTimer = nil
 			s.sendOthersPrefill()
+		case <-s.alarmTimer:
+			s.alarmTimer = nil
+			s.sendAlarms()
 		case <-tick:
 			s.expireServers()
+			s.alarms.expire(s.deps.Telemetry.Clock.Now())
 			s.queueRosterSave(s.deps.Telemetry.Clock.Now())
 			s.maintainConnections()
 			s.settleRollOuts()
@@ -270,6 +276,9 @@
 		policy := s.policy
 		conn.Send(messenger.Packet{Policy: &policy})
 	}
+	if len(p.ServerAlarms) > 0 {
+		s.addAlarms(sender.Instance, p.ServerAlarms)
+	}
 	s.forwardCrashingRequests(p.CrashingRequests)
 	s.forwardOldVersionSessions(p.OldVersionSessions)
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -25,6 +25,8 @@
 	outcomeReportInterval = 300 * timer.Millisecond
 	// prefillReportInterval is the time between reports on the prefill that waits at servers.
 	prefillReportInterval = 150 * timer.Millisecond
+	// maxQueuedAlarms bounds the alarms about backend servers that wait for the control goroutine.
+	maxQueuedAlarms = 64
 	// maxQueuedEvents bounds the events that wait for the control goroutine.
 	maxQueuedEvents = 1024
 )
@@ -62,6 +64,8 @@
 	// AddOldVersionSessions receives those of other instances.
 	NewOldVersionSessions func() []uint64
 	AddOldVersionSessions func([]uint64)
+	// SuspendServers receives the alarms of other instances about backend servers.
+	SuspendServers func([]messenger.ServerAlarm)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -73,8 +77,10 @@
 	events chan func()
 	// prefillReportRequests triggers a report on waiting prefill before the interval ends.
 	prefillReportRequests chan struct{}
-	tomb                  tomb.Tomb
-	links                 map[*messenger.Link]bool
+	// alarms holds the alarms about backend servers that are not sent yet.
+	alarms chan messenger.ServerAlarm
+	tomb   tomb.Tomb
+	links  map[*messenger.Link]bool
 
 	seeds            []string
 	controlAddresses map[*messenger.Link][]string
@@ -89,7 +95,8 @@
 func NewSubscriber(deps Deps) *Subscriber {
 	s := &Subscriber{
 		deps: deps, events: make(chan func(), maxQueuedEvents), prefillReportRequests: make(chan struct{}, 1),
-		links: map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
+		alarms: make(chan messenger.ServerAlarm, maxQueuedAlarms),
+		links:  map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
 		roster: registrar.NewRoster(), view: View{CrashingRequests: map[uint64]bool{}},
 	}
 	s.dialer = messenger.NewDialer(messenger.LinkHandler{
@@ -140,6 +147,14 @@
 	}
 }
 
+// ReportServerAlarm tells the fleet that a backend server fails; it never blocks and drops the alarm if many are queued.
+func (s *Subscriber) ReportServerAlarm(a messenger.ServerAlarm) {
+	select {
+	case s.alarms <- a:
+	default:
+	}
+}
+
 func (s *Subscriber) enqueue(f func()) {
 	select {
 	case s.events <- f:
@@ -159,6 +174,8 @@
 			s.publishView()
 		case <-s.prefillReportRequests:
 			s.reportPendingPrefill()
+		case a := <-s.alarms:
+			s.reportAlarms(a)
 		case <-prefillReportDue:
 			s.reportPendingPrefill()
 			prefillReportDue = s.deps.Telemetry.Clock.After(prefillReportInterval)
@@ -189,13 +206,24 @@
 	}
 }
 
-// reportOldVersionSessions reports to one control instance, which forwards the report to all entry instances. It
-// prefers one of the own data centre, because that is the nearest.
+// reportAlarms reports an alarm, together with those queued after it.
+func (s *Subscriber) reportAlarms(first messenger.ServerAlarm) {
+	list := []messenger.ServerAlarm{first}
+	for len(s.alarms) > 0 {
+		list = append(list, <-s.alarms)
+	}
+	s.sendToNearest(messenger.Packet{ServerAlarms: list})
+}
+
 func (s *Subscriber) reportOldVersionSessions() {
-	keys := s.deps.NewOldVersionSessions()
-	if len(keys) == 0 {
-		return
+	if keys := s.deps.NewOldVersionSessions(); len(keys) > 0 {
+		s.sendToNearest(messenger.Packet{OldVersionSessions: keys})
 	}
+}
+
+// sendToNearest sends a report to one control instance, which forwards it to all entry instances. It prefers one of the
+// own data centre, because that is the nearest.
+func (s *Subscriber) sendToNearest(p messenger.Packet) {
 	var nearest *messenger.Link
 	for l := range s.links {
 		if nearest == nil || l.PeerGreeting().DataCentre == s.deps.Self.DataCentre {
@@ -203,7 +231,7 @@
 		}
 	}
 	if nearest != nil {
-		nearest.Send(messenger.Packet{OldVersionSessions: keys})
+		nearest.Send(p)
 	}
 }
 
@@ -280,6 +308,9 @@
 	if len(p.OldVersionSessions) > 0 {
 		s.deps.AddOldVersionSessions(p.OldVersionSessions)
 	}
+	if len(p.ServerAlarms) > 0 {
+		s.deps.SuspendServers(p.ServerAlarms)
+	}
 	s.addCrashingRequests(p.CrashingRequests)
 }
 
