Stop only when nothing arrives any more; let requests wait after a standstill of the process

A planned stop under load. http.Server.Shutdown closed the listener 300 ms (readiness-wait) after the signal and cut connections whose request head was half sent: 16 of 32 callers of TestPlannedStopUnderLoadCutsNothing were not accepted and 9 were cut off. Change: the listener stays open until nothing has arrived for 0.7 s and no new connection waits for its first request, for half of the remaining time at most. A paused process. An entry instance that woke after 1.8 s or 4 s served the requests that waited in its sockets with the policy from before the pause: 20 of 20 requests with a key that was revoked meanwhile ran. Change: requests wait after a standstill (no round of the control goroutine for 1.2 s, or a jump of the time of day, since the steady clock does not count a suspension) until a control instance has answered on an ordered link, 1 s at most; one that was about to be sent chooses its server again, and its key is checked again. A data centre that is cut off goes on with what it knows.

--- a/internal/forwarder/alarms_test.go
+++ b/internal/forwarder/alarms_test.go
@@ -54,7 +54,9 @@
 	down := &fakeServer{respond: replyDone, down: true}
 	servers := map[string]*fakeServer{"down": down, "up": {respond: replyDone}}
 	finder := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, servers)
-	for n := 0; len(finder.alarms) == 0 && n < 50; n++ {
+	// The server that is down is nearer, so it is asked first.
+	finder.f.serversByName["up"].DataCentre = "b"
+	for n := range 3 {
 		finder.serve(Request{ID: fmt.Sprint("a", n)})
 	}
 	want := messenger.ServerAlarm{Server: "down", Incarnation: 1, Refused: true}
@@ -98,3 +100,53 @@
 		t.Fatal("the connection was not kept")
 	}
 }
+
+// The process stands still between the choice of a server and the send: the choice is made again, with what holds now.
+func TestServerIsChosenAgainAfterStandstill(t *testing.T) {
+	tests := map[string]struct {
+		change func(*testEnv)
+		status int
+		sentTo string
+	}{
+		"the server has left": {func(e *testEnv) { e.members[0].State = registrar.MemberStateLeaving }, http.StatusOK, "second"},
+		"the key is revoked": {func(e *testEnv) {
+			policy := *e.policy
+			policy.Workspaces = []matcher.Workspace{{Name: "w", APIKeys: []string{"other"}}}
+			indexed, err := policy.WithIndexes()
+			if err != nil {
+				t.Fatal(err)
+			}
+			e.policy = indexed
+		}, http.StatusUnauthorized, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			first, second := &fakeServer{respond: replyDone}, &fakeServer{respond: replyDone}
+			env := newTestEnv(t, matcher.Route{Kind: matcher.KindAtMostOnce}, map[string]*fakeServer{"first": first, "second": second})
+			env.members = []registrar.Member{env.members[0], env.members[1]}
+			if env.members[0].Name != "first" {
+				env.members[0], env.members[1] = env.members[1], env.members[0]
+			}
+			env.policy.Routes[0].AuthExempt = false
+			policy := *env.policy
+			policy.Workspaces = []matcher.Workspace{{Name: "w", APIKeys: []string{"key"}}}
+			indexed, err := policy.WithIndexes()
+			if err != nil {
+				t.Fatal(err)
+			}
+			env.policy = indexed
+			env.publishView()
+			// The first server is chosen: the second one is far away.
+			env.f.serversByName["second"].DataCentre = "b"
+			env.onDial = func() {
+				tt.change(env)
+				env.publishView()
+				env.stoodStill.Store(true)
+			}
+			rec, _ := env.serve(Request{APIKey: "key"})
+			if rec.Code != tt.status || len(first.requests()) != 0 || (len(second.requests()) == 1) != (tt.sentTo == "second") {
+				t.Fatalf("status %d, first got %d, second got %d", rec.Code, len(first.requests()), len(second.requests()))
+			}
+		})
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -25,6 +25,8 @@
 	attemptNotRun
 	// attemptUnknown: the request was sent and no usable response arrived.
 	attemptUnknown
+	// attemptOutdated: the process stood still before the request was sent, so the choice of the server may be outdated.
+	attemptOutdated
 	// attemptResponded: the status line and header of a response have arrived.
 	attemptResponded
 )
@@ -84,6 +86,10 @@
 			return x, attemptNotSent
 		}
 	}
+	if t.f.deps.AwaitCurrent(ctx) {
+		s.pool.Put(c)
+		return x, attemptOutdated
+	}
 	t.usedConns = append(t.usedConns, c)
 	t.countAttempt()
 	t.begin(ctx, x, c)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,9 @@
 	Config     Config
 	// OnCrashingRequest is called with the digest of a request that has crashed several backend servers.
 	OnCrashingRequest func(digest uint64)
+	// AwaitCurrent waits after a standstill of the process until the view is current, and reports whether the process had
+	// stood still.
+	AwaitCurrent func(context.Context) bool
 	// OnServerAlarm is called when a server fails in a way that concerns all instances; it must not block.
 	OnServerAlarm func(messenger.ServerAlarm)
 	// OnLongPrefill is called when a prompt with a long prefill is sent to a server.
@@ -180,6 +183,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	f.awaitPolicy(ctx)
+	f.deps.AwaitCurrent(ctx)
 	t, refusal := f.newTask(req, w)
 	if refusal == nil {
 		var cancel context.CancelFunc
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -73,8 +74,12 @@
 	members []registrar.Member
 	policy  *matcher.Policy
 	crashed []uint64
-	alarms  []messenger.ServerAlarm
-	mu      sync.Mutex
+	// onDial, if set, is called once, when the first connection is opened.
+	onDial func()
+	// stoodStill makes the next check find that the process stood still.
+	stoodStill atomic.Bool
+	alarms     []messenger.ServerAlarm
+	mu         sync.Mutex
 }
 
 const testSlots = 8
@@ -111,6 +116,7 @@
 				MaxHeadBytes: 64 << 10, HeadTimeout: 3 * timer.Second, MaxSkippedBytes: 1 << 20, MaxBodyBytes: 8 << 20,
 				MaxEventBytes: 256 << 10, MinBodyRate: 16 << 10, BodyGrace: 2 * timer.Second}},
 		OnCrashingRequest: func(d uint64) { e.mu.Lock(); e.crashed = append(e.crashed, d); e.mu.Unlock() },
+		AwaitCurrent:      func(context.Context) bool { return e.stoodStill.CompareAndSwap(true, false) },
 		OnServerAlarm:     func(a messenger.ServerAlarm) { e.mu.Lock(); e.alarms = append(e.alarms, a); e.mu.Unlock() },
 		OnLongPrefill:     func() {},
 	})
@@ -150,6 +156,10 @@
 	if down {
 		return nil, errRefused
 	}
+	if onDial := e.onDial; onDial != nil {
+		e.onDial = nil
+		onDial()
+	}
 	client, server := net.Pipe()
 	go s.run(server)
 	return client, nil
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -38,6 +38,9 @@
 	}
 	// The servers may have changed since the last attempt; the route stays as matched on arrival.
 	t.view = t.f.fleetView.Load()
+	if t.isKeyRevoked() {
+		return nil, &Refusal{Status: http.StatusUnauthorized, Reason: "the key was revoked"}
+	}
 	waitUntil := t.ArrivedAt + max(t.route.TargetLatency*slotWaitPercent/100, slotPollInterval)
 	for {
 		now := t.f.deps.Telemetry.Clock.Now()
@@ -63,6 +66,11 @@
 	}
 }
 
+// isKeyRevoked reports whether a request that no server has got came with a key that is no longer valid.
+func (t *task) isKeyRevoked() bool {
+	return t.workspace != nil && t.attempts == 0 && t.view.Policy.WorkspaceByKey(t.APIKey) == nil
+}
+
 func (t *task) noServerRefusal(reason string) *Refusal {
 	if t.mayHaveRun {
 		return &Refusal{Status: http.StatusBadGateway, Reason: reason}
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -121,6 +121,9 @@
 func (t *task) handleFailedAttempt(ctx context.Context, x *exchange, o attemptOutcome) *Refusal {
 	now := t.f.deps.Telemetry.Clock.Now()
 	switch o {
+	case attemptOutdated:
+		clear(t.tried)
+		return nil
 	case attemptNotRun:
 		status := x.res.StatusCode
 		err := x.res.Discard()
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -55,6 +55,7 @@
 	subscriber *subscriber.Subscriber
 	forwarder  *forwarder.Forwarder
 	callers    *listener
+	arrivals   *arrivals
 	ready      *listener
 	metrics    *listener
 	stopping   atomic.Bool
@@ -62,7 +63,7 @@
 
 // NewEntry builds an entry instance; an error names the invalid setting or address.
 func NewEntry(telemetry observer.Telemetry, settings configurer.Settings) (*Entry, error) {
-	e := &Entry{telemetry: telemetry, settings: settings}
+	e := &Entry{telemetry: telemetry, settings: settings, arrivals: newArrivals(telemetry.Clock)}
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
 		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(), Dial: exchanger.NewDial(),
 		Config: forwarder.Config{
@@ -72,6 +73,7 @@
 			Answers: answerLimits(settings), MaxBufferedBytes: int64(settings.Answers.MaxBuffered),
 		},
 		OnCrashingRequest: func(digest uint64) { e.subscriber.ReportCrashingRequest(digest) },
+		AwaitCurrent:      func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
 		OnServerAlarm:     func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
 		OnLongPrefill:     func() { e.subscriber.SendPrefillNow() },
 	})
@@ -95,6 +97,7 @@
 		return nil, err
 	}
 	e.callers.server.IdleTimeout = entryIdleTimeout.Duration()
+	e.callers.server.ConnState = e.arrivals.recordState
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
 		return nil, err
 	}
@@ -175,16 +178,20 @@
 	return nil
 }
 
-// Stop fails the readiness check, serves until the balancer has noticed, drains requests in flight and stops the
-// instance.
+// Stop fails the readiness check, serves until the balancer has noticed and nothing arrives any more, drains requests in
+// flight and stops the instance.
 func (e *Entry) Stop() error {
 	stopStart := e.telemetry.Clock.Now()
 	e.stopping.Store(true)
 	e.telemetry.Log.Info("entry instance stops", "running", e.forwarder.InFlight(), "limit", e.settings.Stop.Limit)
 	err := e.telemetry.Clock.Sleep(context.Background(), e.settings.Stop.ReadinessWait)
-	remaining := e.settings.Stop.Limit - stopReserve - (e.telemetry.Clock.Now() - stopStart)
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining).Duration())
+	remaining := max(0, e.settings.Stop.Limit-stopReserve-(e.telemetry.Clock.Now()-stopStart))
+	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
+	// The requests that arrive last need time as well.
+	arrivalsCtx, stopWaiting := context.WithTimeout(ctx, (remaining / 2).Duration())
+	e.arrivals.awaitQuiet(arrivalsCtx)
+	stopWaiting()
 	err = trace.NewAggregate(err, e.callers.stop(ctx))
 	e.telemetry.Log.Info("entry instance stopped", "cut-off", e.forwarder.InFlight(), "error", err)
 	return trace.NewAggregate(e.ready.kill(), e.subscriber.Stop(), e.forwarder.Stop())
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -59,6 +59,10 @@
 	OldVersionSessions []uint64 `cbor:"16,keyasint,omitempty"`
 	// ServerAlarms lists backend servers that fail.
 	ServerAlarms []ServerAlarm `cbor:"17,keyasint,omitempty"`
+	// SyncRequest asks a control instance for a reply with the same number as SyncReply. Since a link keeps the order of
+	// packets, the reply shows that everything the control instance had sent before has arrived.
+	SyncRequest uint64 `cbor:"18,keyasint,omitempty"`
+	SyncReply   uint64 `cbor:"19,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -276,6 +276,9 @@
 		policy := s.policy
 		conn.Send(messenger.Packet{Policy: &policy})
 	}
+	if p.SyncRequest > 0 {
+		conn.Send(messenger.Packet{SyncReply: p.SyncRequest})
+	}
 	if len(p.ServerAlarms) > 0 {
 		s.addAlarms(sender.Instance, p.ServerAlarms)
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -87,6 +87,13 @@
 	roster           *registrar.Roster
 	view             View
 	viewChanged      bool
+	standstill       *standstill
+	// syncNumber is the number of the last SyncRequest, and syncUntil the time at which the wait for its reply ends; 0 if
+	// there is none.
+	syncNumber uint64
+	syncUntil  timer.Millis
+	// syncReplied means that the reply has arrived and its view is not published yet.
+	syncReplied bool
 	// hasReportedPrefill means that the last report on waiting prefill was not empty.
 	hasReportedPrefill bool
 }
@@ -98,6 +105,7 @@
 		alarms: make(chan messenger.ServerAlarm, maxQueuedAlarms),
 		links:  map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
 		roster: registrar.NewRoster(), view: View{CrashingRequests: map[uint64]bool{}},
+		standstill: newStandstill(deps.Telemetry.Clock),
 	}
 	s.dialer = messenger.NewDialer(messenger.LinkHandler{
 		Telemetry:   deps.Telemetry,
@@ -167,11 +175,15 @@
 	outcomeReportDue := s.deps.Telemetry.Clock.After(outcomeReportInterval)
 	prefillReportDue := s.deps.Telemetry.Clock.After(prefillReportInterval)
 	for {
+		s.checkStandstill()
 		select {
 		case f := <-s.events:
+			// The event may have waited here while the process stood still.
+			s.checkStandstill()
 			f()
 			s.runQueuedEvents()
 			s.publishView()
+			s.finishSync()
 		case <-s.prefillReportRequests:
 			s.reportPendingPrefill()
 		case a := <-s.alarms:
@@ -249,6 +261,9 @@
 
 func (s *Subscriber) handleOpened(l *messenger.Link) {
 	s.links[l] = true
+	if s.syncUntil > 0 {
+		l.Send(messenger.Packet{SyncRequest: s.syncNumber})
+	}
 	s.deps.Telemetry.Log.Info("control instance reached", "instance", l.PeerGreeting().Instance, "data-centre", l.PeerGreeting().DataCentre)
 }
 
@@ -308,6 +323,9 @@
 	if len(p.OldVersionSessions) > 0 {
 		s.deps.AddOldVersionSessions(p.OldVersionSessions)
 	}
+	if p.SyncReply > 0 && p.SyncReply == s.syncNumber {
+		s.syncReplied = true
+	}
 	if len(p.ServerAlarms) > 0 {
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
