--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -63,6 +63,8 @@
 		t.mayHaveRun = true
 		t.recordServerFailure(x.server, now)
 		t.recordBadResponse(x.server)
+		t.f.deps.Telemetry.Log.Info("server error", "request", t.ID, "server", x.server.Name, "version", x.server.Version,
+			"attempt", t.attempts, "status", x.res.StatusCode, "took-ms", int64(took), "retried", t.canRetry())
 		if t.canRetry() {
 			return false, nil
 		}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -14,6 +14,10 @@
 	// deadTimeout is the time without a byte from a server on any connection of this instance after which a waiting
 	// stream is moved.
 	deadTimeout = 700 * timer.Millisecond
+	// loneWaitPercent is the part of the time target, in percent, that a stream waits at a server where this instance has
+	// no other request: in a large fleet that is the rule, and silence alone does not show that the server is dead. An
+	// alarm of another instance does.
+	loneWaitPercent = 50
 	// firstEventFactor is the multiple of the time target that a stream waits for its first event if the server
 	// responds to other requests.
 	firstEventFactor = 3
@@ -60,6 +64,9 @@
 		if s.inFlight.Load() <= 1 {
 			// No other request is in flight that the server could respond to during the prefill.
 			silenceLimit = max(silenceLimit, moveFactor*expectedWait)
+			if suspended, _ := s.availability(now); !suspended {
+				silenceLimit = max(silenceLimit, t.route.TargetLatency*loneWaitPercent/100)
+			}
 		}
 		return silence < silenceLimit && since < firstEventFactor*t.route.TargetLatency && !t.isStuck(s, since, now)
 	}
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -172,6 +173,41 @@
 	}
 }
 
+// In a large fleet an instance seldom has two requests at the same server, so that every slow prompt meets a server that
+// has been silent. Such a prompt must not be moved and read twice, unless other instances have raised an alarm.
+func TestLonePromptIsNotMovedBecauseOfSilence(t *testing.T) {
+	tests := map[string]struct {
+		alarm bool
+		sent  int
+	}{
+		"the server is slow": {false, 1},
+		"the server is dead": {true, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var first atomic.Bool
+			env := newTestEnv(t, streamRoute(true), map[string]*fakeServer{})
+			respond := func(_ int, r *http.Request, w io.Writer) bool {
+				if first.CompareAndSwap(false, true) {
+					if tt.alarm {
+						env.f.SuspendServers([]messenger.ServerAlarm{{Server: r.Header.Get("Server"), Incarnation: 1}})
+					}
+					time.Sleep(1200 * time.Millisecond)
+				}
+				return write(w, streamHead(r.Header.Get("Id"), "")) && write(w, chunk(event(1))) && write(w, streamEnd)
+			}
+			route := streamRoute(true)
+			route.TargetLatency = 3 * timer.Second
+			env = newTestEnv(t, route, map[string]*fakeServer{"s1": {respond: respond}, "s2": {respond: respond}})
+			rec, broken := env.serve(Request{PromptTokens: 300})
+			if broken || rec.Body.String() != event(1) || env.sentRequests() != tt.sent {
+				t.Fatalf("broken off %t, got %q, sent %d requests, want %d", broken, rec.Body, env.sentRequests(), tt.sent)
+			}
+		})
+	}
+}
+
 // Guards against refusing to escalate the longest prompts: their prefill on the large model takes the whole time
 // target, but a late correct response is preferred.
 func TestLongPromptEscalatesDespitePrefillTime(t *testing.T) {
