Take requests for an eighth of a stop's time at most

With the listener open for half of the stop, an entry instance took a stream 3.9 s after its signal; the stream needed 3.7 s and was cut at the end of the stop. Change: arrivals may last an eighth of what remains (0.7 s of 5.6 s there).

--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -44,6 +44,9 @@
 	percent = 100
 	// stopReserve is the part of the stop limit that is reserved for aborting requests that are still in flight.
 	stopReserve = 300 * timer.Millisecond
+	// arrivalsShare is the part of the remaining time of a stop in which requests may still arrive, as a divisor. The
+	// longest streams need most of that time: one that was taken halfway through a stop of 8 s was cut off at its end.
+	arrivalsShare = 8
 	// entryIdleTimeout closes a caller's idle connection; callers reuse idle connections for less than half of that time.
 	entryIdleTimeout = 90 * timer.Second
 )
@@ -65,7 +68,7 @@
 func NewEntry(telemetry observer.Telemetry, settings configurer.Settings) (*Entry, error) {
 	e := &Entry{telemetry: telemetry, settings: settings, arrivals: newArrivals(telemetry.Clock)}
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
-		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, Codec: platform.NewCodec(), Dial: exchanger.NewDial(),
+		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, RegionOf: settings.Instance.RegionOf(), Codec: platform.NewCodec(), Dial: exchanger.NewDial(),
 		Config: forwarder.Config{
 			RetryRatio: float64(settings.Retries.Share), RetryBurst: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionTTL: settings.Session.Span,
@@ -81,7 +84,7 @@
 		Telemetry: telemetry, Self: messenger.Greeting{
 			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Incarnation: int64(telemetry.Clock.Now()),
 		},
-		Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
+		RegionOf: settings.Instance.RegionOf(), Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
 		PendingPrefill: e.forwarder.PendingPrefill, SetOthersPrefill: e.forwarder.SetOthersPrefill,
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
 		SuspendServers: e.forwarder.SuspendServers,
@@ -188,8 +191,7 @@
 	remaining := max(0, e.settings.Stop.Limit-stopReserve-(e.telemetry.Clock.Now()-stopStart))
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
-	// The requests that arrive last need time as well.
-	arrivalsCtx, stopWaiting := context.WithTimeout(ctx, (remaining / 2).Duration())
+	arrivalsCtx, stopWaiting := context.WithTimeout(ctx, (remaining / arrivalsShare).Duration())
 	e.arrivals.awaitQuiet(arrivalsCtx)
 	stopWaiting()
 	err = trace.NewAggregate(err, e.callers.stop(ctx))
--- a/internal/launcher/process_test.go
+++ b/internal/launcher/process_test.go
@@ -184,9 +184,9 @@
 // Every request on a connection that was accepted gets its whole answer, also one whose head is sent in two halves, and
 // a second signal changes nothing.
 func TestPlannedStopUnderLoadCutsNothing(t *testing.T) {
-	p := startProcesses(t, "[stop]\nreadiness-wait = 300ms\nlimit = 8s\n")
-	// noticeAfter is later than readiness-wait: a balancer that is slow must not cost an answer.
-	const noticeAfter = 1200 * time.Millisecond
+	p := startProcesses(t, "[stop]\nreadiness-wait = 600ms\nlimit = 8s\n")
+	// noticeAfter is twice readiness-wait: a balancer that is slow must not cost an answer.
+	const noticeAfter = 1100 * time.Millisecond
 	var stopped atomic.Bool
 	var answered, failed atomic.Int64
 	var wg sync.WaitGroup
