Let the data centres of a region share their servers

Cause: a server in the other data centre of a region, 0.5 ms away, cost as much as one 8 ms away, so load stayed in its data centre, and long shared parts were read once in each. Change: instances know the region of each data centre ([instance] regions). Another data centre of the region costs 120 ms of placement, another region 400; parts of 3,000 tokens and more have one home in the region; pending prefill is reported within the region.

--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -26,6 +26,7 @@
 		"certificate without key":      {validSettings + "[tls]\ncertificate = doc.ini\n", "certificate and key go together"},
 		"link certificate without key": {validSettings + "[links]\ncertificate = doc.ini\n", "certificate, key and authority go together"},
 		"links without address":        {validSettings + "[links]\ncertificate = doc.ini\nkey = doc.ini\nauthority = doc.ini\n", "need an address of their own"},
+		"data centre without a region": {strings.Replace(validSettings, "data-centre = a", "data-centre = a\nregions = a:x, b", 1), `"b" names no region`},
 		"forget below silence":         {validSettings + "[servers]\nsilence = 20s\nforget = 10s\n", "it is not longer than silence"},
 	}
 	folder := t.TempDir()
--- a/internal/configurer/load.go
+++ b/internal/configurer/load.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -108,6 +109,11 @@
 		c.addProblem("tls", "", "certificate and key go together", "both or neither")
 	}
 	c.checkLinks()
+	for _, entry := range s.Instance.Regions {
+		if dataCentre, region, found := strings.Cut(entry, ":"); !found || dataCentre == "" || region == "" {
+			c.addProblem("instance", "regions", strconv.Quote(entry)+" names no region", "DATA-CENTRE:REGION, separated by commas")
+		}
+	}
 	if s.Listen.Callers != "" && s.Listen.Callers == s.Listen.Control && !strings.HasSuffix(string(s.Listen.Callers), ":0") {
 		c.addProblem("listen", "control", "the address is the callers' address", "an address of its own")
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -1,6 +1,8 @@
 package configurer
 
 import (
+	"strings"
+
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -9,7 +11,19 @@
 type Instance struct {
 	Name       string `ini:"name" required:"yes" doc:"Name of the instance, unique in the fleet."`
 	DataCentre string `ini:"data-centre" required:"yes" doc:"Data centre that the instance runs in, as the document names it."`
-	Role       Role   `ini:"role" default:"whole" accept:"whole|entry|control" doc:"What the instance does: everything, only callers' requests, or only control."`
+	// Regions lists the region of each data centre as DATA-CENTRE:REGION.
+	Regions []string `ini:"regions" doc:"Region of each data centre, as DATA-CENTRE:REGION; a data centre that is not listed is a region of its own."`
+	Role    Role     `ini:"role" default:"whole" accept:"whole|entry|control" doc:"What the instance does: everything, only callers' requests, or only control."`
+}
+
+// RegionOf returns the region of each listed data centre.
+func (i Instance) RegionOf() map[string]string {
+	regions := map[string]string{}
+	for _, entry := range i.Regions {
+		dataCentre, region, _ := strings.Cut(entry, ":")
+		regions[dataCentre] = region
+	}
+	return regions
 }
 
 // Role selects which part of the system an instance runs.
--- a/internal/forwarder/cache_ranks.go
+++ b/internal/forwarder/cache_ranks.go
@@ -36,22 +36,30 @@
 // maxCacheRank is the rank of all servers after the second: their caches are equally unlikely to hold the prefix.
 const maxCacheRank = 2
 
-// topWeights are the two highest rendezvous weights in a data centre.
+// minRegionalTokens is the number of shared tokens from which parts have one home in a region and not one in each of its
+// data centres: reading them at a cold server costs more than the way to the other data centre.
+const minRegionalTokens = otherDataCentreCost / (maxCacheRank * coldCacheCost)
+
+// topWeights are the two highest rendezvous weights in a scope: a data centre or a region.
 type topWeights struct {
-	dataCentre    string
+	scope         string
 	first, second uint64
 }
 
 // cacheRanks returns the rank of each server, up to maxCacheRank, by rendezvous hashing of the shared parts within its
-// data centre; nil if there are no shared parts.
+// data centre, or within its region for long ones; nil if there are no shared parts.
 func (t *task) cacheRanks(list []*server) []int {
 	key := t.prefixKey()
 	if key == 0 {
 		return nil
 	}
+	scopeOf := func(dataCentre string) string { return dataCentre }
+	if float64(t.sharedTokens()) >= minRegionalTokens {
+		scopeOf = t.f.regionOf
+	}
 	var tops []topWeights
 	for _, s := range list {
-		top := topWeightsOf(&tops, s.DataCentre)
+		top := topWeightsOf(&tops, scopeOf(s.DataCentre))
 		switch weight := mixBits(key ^ s.nameHash); {
 		case weight > top.first:
 			top.first, top.second = weight, top.first
@@ -61,7 +69,7 @@
 	}
 	ranks := make([]int, len(list))
 	for i, s := range list {
-		top := topWeightsOf(&tops, s.DataCentre)
+		top := topWeightsOf(&tops, scopeOf(s.DataCentre))
 		switch mixBits(key ^ s.nameHash) {
 		case top.first:
 		case top.second:
@@ -73,15 +81,14 @@
 	return ranks
 }
 
-// topWeightsOf returns the entry of a data centre and adds it if needed; a linear search is enough for a few data
-// centres.
-func topWeightsOf(tops *[]topWeights, dataCentre string) *topWeights {
+// topWeightsOf returns the entry of a scope and adds it if needed; a linear search is enough for a few scopes.
+func topWeightsOf(tops *[]topWeights, scope string) *topWeights {
 	for i := range *tops {
-		if (*tops)[i].dataCentre == dataCentre {
+		if (*tops)[i].scope == scope {
 			return &(*tops)[i]
 		}
 	}
-	*tops = append(*tops, topWeights{dataCentre: dataCentre})
+	*tops = append(*tops, topWeights{scope: scope})
 	return &(*tops)[len(*tops)-1]
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -41,9 +41,11 @@
 type Deps struct {
 	Telemetry  observer.Telemetry
 	DataCentre string
-	Codec      Codec
-	Dial       exchanger.Dial
-	Config     Config
+	// RegionOf is the region of each data centre; one that is missing is a region of its own.
+	RegionOf map[string]string
+	Codec    Codec
+	Dial     exchanger.Dial
+	Config   Config
 	// OnCrashingRequest is called with the digest of a request that has crashed several backend servers.
 	OnCrashingRequest func(digest uint64)
 	// AwaitCurrent waits after a standstill of the process until the view is current, and reports whether the process had
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -14,9 +14,10 @@
 	// fullLoadCost is the cost of a full server compared with an empty one, in milliseconds: more requests make each
 	// token slower.
 	fullLoadCost = 250.0
-	// otherDataCentreCost is the cost of a server in another data centre, in milliseconds: traffic between data
-	// centres is paid for.
-	otherDataCentreCost = 400.0
+	// otherRegionCost and otherDataCentreCost are the costs of a server in another region, and in another data centre of
+	// the same region, in milliseconds: traffic between them is paid for, and the way to other regions is long.
+	otherRegionCost     = 400.0
+	otherDataCentreCost = 120.0
 	// slowServerCost is the additional cost of a server that responds far later than usual, in milliseconds.
 	slowServerCost = 200.0
 	// coldCacheCost is the cost of each cache rank below the first, in milliseconds per shared token: the shared parts
@@ -131,15 +132,31 @@
 	if slowness > slowServerFactor {
 		cost = cost*slowness + slowServerCost
 	}
-	if s.DataCentre != t.f.deps.DataCentre {
-		cost += otherDataCentreCost
-	}
+	cost += t.f.distanceCost(s.DataCentre)
 	if cacheRank > 0 {
 		cost += float64(cacheRank) * coldCacheCost * float64(t.sharedTokens())
 	}
 	return cost
 }
 
+// distanceCost returns the cost of a server in the given data centre, in milliseconds.
+func (f *Forwarder) distanceCost(dataCentre string) float64 {
+	switch {
+	case dataCentre == f.deps.DataCentre:
+		return 0
+	case f.regionOf(dataCentre) == f.regionOf(f.deps.DataCentre):
+		return otherDataCentreCost
+	}
+	return otherRegionCost
+}
+
+func (f *Forwarder) regionOf(dataCentre string) string {
+	if region, ok := f.deps.RegionOf[dataCentre]; ok {
+		return region
+	}
+	return dataCentre
+}
+
 // slowServerFactor is the multiple of the usual time to the first byte above which a server is slow.
 const slowServerFactor = 2.5
 
--- a/internal/steward/prefill.go
+++ b/internal/steward/prefill.go
@@ -12,8 +12,8 @@
 // prompt waits at least tens of milliseconds.
 const prefillBatchDelay = 10 * timer.Millisecond
 
-// sendOthersPrefill sends each entry instance of the same data centre the prefill that the others there have sent to
-// backend servers. Other data centres are left out, since work seldom crosses between data centres.
+// sendOthersPrefill sends each entry instance of the same data centre the prefill that the others have sent to backend
+// servers. The entry instances of the region report here; work seldom crosses between regions.
 func (s *Steward) sendOthersPrefill() {
 	for conn := range s.pendingPrefillByEntry {
 		if _, open := s.connections[conn]; !open {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -51,7 +51,9 @@
 type Deps struct {
 	Telemetry observer.Telemetry
 	Self      messenger.Greeting
-	Seeds     []string
+	// RegionOf is the region of each data centre; one that is missing is a region of its own.
+	RegionOf map[string]string
+	Seeds    []string
 	// DecodePolicy decodes the text of a policy.
 	DecodePolicy func(applier.Policy) (*matcher.Policy, error)
 	// Publish receives each new view, on the control goroutine.
@@ -203,8 +205,8 @@
 	}
 }
 
-// reportPendingPrefill reports the waiting prefill to the control instances of the own data centre. One empty report
-// ends a series; further empty ones are not sent.
+// reportPendingPrefill reports the waiting prefill to the control instances of the own region, since prompts cross
+// between its data centres. One empty report ends a series; further empty ones are not sent.
 func (s *Subscriber) reportPendingPrefill() {
 	list := s.deps.PendingPrefill()
 	if len(list) == 0 && !s.hasReportedPrefill {
@@ -212,12 +214,19 @@
 	}
 	s.hasReportedPrefill = len(list) > 0
 	for l := range s.links {
-		if l.PeerGreeting().DataCentre == s.deps.Self.DataCentre {
+		if s.isNear(l.PeerGreeting().DataCentre) {
 			l.Send(messenger.Packet{PendingPrefill: list, HasPendingPrefill: true})
 		}
 	}
 }
 
+// isNear reports whether a data centre is in the own region.
+func (s *Subscriber) isNear(dataCentre string) bool {
+	own := s.deps.Self.DataCentre
+	region, listed := s.deps.RegionOf[dataCentre]
+	return dataCentre == own || listed && region == s.deps.RegionOf[own]
+}
+
 // reportAlarms reports an alarm, together with those queued after it.
 func (s *Subscriber) reportAlarms(first messenger.ServerAlarm) {
 	list := []messenger.ServerAlarm{first}
