Send less from control instances

Each link that opened made each control instance send its addresses to all entry instances; each server's row went to each entry instance from each control instance, one message a row. Change: addresses are sent when they change; rows heard from another control instance go to the entry instances of the own data centre and of those without one; rows of servers that start are batched for 10 ms, others go at once.

--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -56,12 +58,34 @@
 	})
 }
 
-// broadcastServer sends one row of the roster to every connected instance.
+// memberBatchDelay batches the rows of servers that have started into one message: after an outage all of them announce
+// themselves at once.
+const memberBatchDelay = 10 * timer.Millisecond
+
+// broadcastServer sends one row of the roster to every connected instance, at once unless the server serves: what an
+// instance has acknowledged about a leaving server must not be lost with it.
 func (s *Steward) broadcastServer(row registrar.Member) {
 	s.rosterDirty = true
 	s.deps.Telemetry.Log.Info("backend server changed", "server", row.Name, "address", row.Address, "service", row.Service,
 		"version", row.Version, "standing", row.State, "incarnation", row.Incarnation, "sequence", row.Sequence)
-	s.sendToAll(messenger.Packet{Members: []registrar.Member{row}})
+	s.pendingMembers[row.Name] = row
+	switch {
+	case row.State != registrar.MemberStateServing:
+		s.sendPendingMembers()
+	case s.memberTimer == nil:
+		s.memberTimer = s.deps.Telemetry.Clock.After(memberBatchDelay)
+	}
+}
+
+// sendPendingMembers sends the pending rows to every connected instance.
+func (s *Steward) sendPendingMembers() {
+	s.memberTimer = nil
+	var list []registrar.Member
+	for _, name := range slices.Sorted(maps.Keys(s.pendingMembers)) {
+		list = append(list, s.pendingMembers[name])
+	}
+	clear(s.pendingMembers)
+	s.sendToAll(messenger.Packet{Members: list})
 }
 
 // mergeServers merges rows of another control instance's roster and returns the rows that changed.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -70,6 +70,8 @@
 
 	connections map[*messenger.Link]messenger.Greeting
 	seeds       []string
+	// sentControlAddresses are the addresses that the entry instances were last told of.
+	sentControlAddresses []string
 	// addressSeenAt is when each control instance's address was last connected or mentioned.
 	addressSeenAt map[string]timer.Millis
 	roster        *registrar.Roster
@@ -96,6 +98,9 @@
 	// oldVersionSessions are the sessions that stay on the old version; instances that connect later get them too.
 	oldVersionSessions map[uint64]bool
 	prefillTimer       <-chan timer.Tick
+	// pendingMembers are the rows of the roster that the next message to all instances will carry.
+	pendingMembers     map[string]registrar.Member
+	memberTimer        <-chan timer.Tick
 	alarms             *alarmBoard
 	alarmTimer         <-chan timer.Tick
 	stopping           bool
@@ -114,7 +119,7 @@
 		connections: map[*messenger.Link]messenger.Greeting{}, seeds: deps.Seeds, addressSeenAt: map[string]timer.Millis{},
 		roster: registrar.NewRoster(), announcedHere: map[string]lastAnnouncement{},
 		notServingSince:  map[string]timer.Millis{},
-		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), outcomes: map[string][]messenger.Outcomes{},
+		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), pendingMembers: map[string]registrar.Member{}, outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		crashingRequests: map[uint64]bool{}, pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
@@ -201,6 +206,8 @@
 		case <-s.prefillTimer:
 			s.prefillTimer = nil
 			s.sendOthersPrefill()
+		case <-s.memberTimer:
+			s.sendPendingMembers()
 		case <-s.alarmTimer:
 			s.alarmTimer = nil
 			s.sendAlarms()
@@ -260,7 +267,9 @@
 		s.rememberAddress(a)
 	}
 	if changed := s.mergeServers(p.Members); len(changed) > 0 {
-		s.sendToEntries(messenger.Packet{Members: changed})
+		for _, entry := range s.relayedEntries() {
+			entry.Send(messenger.Packet{Members: changed})
+		}
 	}
 	s.correctSilentServers(p.Members)
 	if p.Outcomes != nil {
@@ -324,7 +333,18 @@
 		}
 	}
 	conn.Send(p)
-	s.sendToEntries(messenger.Packet{ControlAddresses: s.controlAddresses()})
+	s.sendControlAddresses()
+}
+
+// sendControlAddresses sends the addresses of the control instances to the entry instances if they have changed: most
+// links that open are those of entry instances, which change nothing.
+func (s *Steward) sendControlAddresses() {
+	addresses := s.controlAddresses()
+	if slices.Equal(addresses, s.sentControlAddresses) {
+		return
+	}
+	s.sentControlAddresses = addresses
+	s.sendToEntries(messenger.Packet{ControlAddresses: addresses})
 }
 
 // addNew adds keys to a set and returns those that were not in it.
@@ -380,6 +400,25 @@
 	s.outcomes[incarnationKey(g)] = rows
 }
 
+// relayedEntries returns the links to the entry instances to which this instance passes on what it hears from another
+// control instance: those of its own data centre and of data centres without a control instance. All others hear it from
+// the instance that was told first and from their own one.
+func (s *Steward) relayedEntries() []*messenger.Link {
+	hasControl := map[string]bool{}
+	for _, g := range s.connections {
+		if g.Address != "" {
+			hasControl[g.DataCentre] = true
+		}
+	}
+	var list []*messenger.Link
+	for conn, g := range s.connections {
+		if g.Address == "" && (g.DataCentre == s.deps.Self.DataCentre || !hasControl[g.DataCentre]) {
+			list = append(list, conn)
+		}
+	}
+	return list
+}
+
 // sendToEntries sends a packet to every connected entry instance.
 func (s *Steward) sendToEntries(p messenger.Packet) {
 	for conn, g := range s.connections {
