Own interface: answers to other requests and dripping answers

A late copy on a reused connection was taken for the answer to the next request: an answer with another request's id is refused now, as one that may have run. A server that sent a byte now and then never stalled: progress is a complete chunk of a stream or 4 KiB of a body. Tests: TestAnswerToAnotherRequestIsNotTaken and TestStalledAnswers, red before for another's id and for a byte now and then.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -71,6 +71,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// RecordProgress is called for each complete event of a stream; an answer without progress is cancelled after the
+	// stall timeout. Nil records nothing.
+	RecordProgress func()
 }
 
 // Dispatcher sends calls to backend servers and pools the connections.
@@ -80,8 +83,7 @@
 	stallTimeout timer.Millis
 }
 
-// NewDispatcher returns a dispatcher that fails a call when the backend server sends no data for stallTimeout
-// milliseconds.
+// NewDispatcher returns a dispatcher that fails a call when the answer makes no progress for stallTimeout milliseconds.
 func NewDispatcher(stallTimeout timer.Millis) *Dispatcher {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
@@ -138,10 +140,15 @@
 		return nil, &SendError{Ran: ranIfFailed(connected.Load()), Err: err}
 	}
 	body := newStallBody(res.Body, d.stallTimeout, cancel)
+	if id := res.Header.Get(receiver.HeaderRequestID); id != "" && id != call.RequestID {
+		// The transport takes whatever comes first on a reused connection for the answer.
+		err := fmt.Errorf("the answer belongs to request %s", id)
+		return nil, errors.Join(&SendError{Ran: receiver.RanUnknown, Err: err}, body.Close())
+	}
 	if err := checkRan(res); err != nil {
 		return nil, errors.Join(&SendError{Ran: receiver.RanNo, Err: err}, body.Close())
 	}
-	return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+	return &Response{Status: res.StatusCode, Header: res.Header, Body: body, RecordProgress: body.progress}, nil
 }
 
 // withConnectionTrace sets connected once the call has a connection; without one, no byte was sent.
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+func send(t *testing.T, stall timer.Millis, handler http.HandlerFunc) (*Response, error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	d := NewDispatcher(stall)
+	t.Cleanup(d.Close)
+	return d.Send(context.Background(), Call{Address: strings.TrimPrefix(server.URL, "http://"), RequestID: "own", Method: http.MethodPost, Path: "/"})
+}
+
+// The transport takes a late copy of another answer for the one that it waits for.
+func TestAnswerToAnotherRequestIsNotTaken(t *testing.T) {
+	tests := map[string]struct {
+		id   string
+		want bool
+	}{
+		"its own id":   {"own", true},
+		"no id":        {"", true},
+		"another's id": {"other", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			res, err := send(t, timer.Second, func(w http.ResponseWriter, _ *http.Request) {
+				if tt.id != "" {
+					w.Header().Set(receiver.HeaderRequestID, tt.id)
+				}
+			})
+			if err == nil {
+				defer func() { _ = res.Body.Close() }()
+			}
+			var sendErr *SendError
+			if (err == nil) != tt.want || err != nil && (!errors.As(err, &sendErr) || sendErr.Ran != receiver.RanUnknown) {
+				t.Fatalf("got %v, want an answer: %t", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestStalledAnswers(t *testing.T) {
+	const stall = 300 * timer.Millisecond
+	tests := map[string]struct {
+		piece    string
+		interval time.Duration
+		pieces   int
+		// records is true if each piece is a complete event.
+		records bool
+		stalled bool
+	}{
+		"a byte now and then":          {"x", 40 * time.Millisecond, 40, false, true},
+		"silence":                      {"x", time.Second, 2, false, true},
+		"slow but complete events":     {"data: x\n\n", 150 * time.Millisecond, 8, true, false},
+		"a large body, piece by piece": {strings.Repeat("x", 2*progressBytes), 150 * time.Millisecond, 8, false, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			res, err := send(t, stall, func(w http.ResponseWriter, r *http.Request) {
+				for range tt.pieces {
+					if _, err := io.WriteString(w, tt.piece); err != nil || http.NewResponseController(w).Flush() != nil {
+						return
+					}
+					select {
+					case <-time.After(tt.interval):
+					case <-r.Context().Done():
+						return
+					}
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			received := 0
+			for buf := make([]byte, 1<<10); err == nil; {
+				var n int
+				n, err = res.Body.Read(buf)
+				received += n
+				if tt.records && n > 0 {
+					res.RecordProgress()
+				}
+			}
+			if stalled := !errors.Is(err, io.EOF); stalled != tt.stalled {
+				t.Fatalf("%d bytes, then %v; want a stall: %t", received, err, tt.stalled)
+			}
+		})
+	}
+}
--- a/internal/router/model_task.go
+++ b/internal/router/model_task.go
@@ -268,7 +268,13 @@
 func (m *modelTask) relayStream(res *dispatcher.Response) error {
 	droppedBefore := m.progress.DroppedChunks
 	defer func() { m.metrics.chunksDropped.Inc(m.progress.DroppedChunks - droppedBefore) }()
-	return m.progress.ReadStream(flushingReader{reply: m.reply, body: res.Body}, m.deps.Limits.MaxEventBytes, m.relayChunk)
+	relay := func(c verifier.Chunk) error {
+		if res.RecordProgress != nil {
+			res.RecordProgress()
+		}
+		return m.relayChunk(c)
+	}
+	return m.progress.ReadStream(flushingReader{reply: m.reply, body: res.Body}, m.deps.Limits.MaxEventBytes, relay)
 }
 
 // flushingReader flushes the reply before each read. Thus no verified chunk waits for the next one, and chunks that
