--- a/internal/applier/compression.go
+++ b/internal/applier/compression.go
@@ -27,8 +27,11 @@
 	return Policy{Version: version, Text: b.Bytes()}, nil
 }
 
-// Decompressed returns the decompressed text, as the operator sent it.
+// Decompressed returns the decompressed text, as the operator sent it; it fails if the text is longer than 32 MiB.
 func (p Policy) Decompressed() ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Text)), maxPolicyText))
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Text)), maxPolicyText+1))
+	if err == nil && len(text) > maxPolicyText {
+		err = trace.LimitExceeded("the text of policy %d is longer than %d bytes", p.Version, maxPolicyText)
+	}
 	return text, trace.Wrap(err)
 }
--- a/internal/forwarder/version_outcomes.go
+++ b/internal/forwarder/version_outcomes.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // grade rates a response during a roll-out.
@@ -21,9 +23,10 @@
 	counts map[outcomeKey]messenger.Outcomes
 }
 
-// outcomeKey identifies the counts of one version on one route.
+// outcomeKey identifies the counts of one version on one route in one roll-out.
 type outcomeKey struct {
 	service, version, route string
+	rollOutStartedAt        timer.Millis
 }
 
 func newVersionOutcomes() *versionOutcomes {
@@ -38,7 +41,7 @@
 	}
 	f.versionOutcomes.mu.Lock()
 	defer f.versionOutcomes.mu.Unlock()
-	key := outcomeKey{s.Service, s.Version, t.route.Name}
+	key := outcomeKey{s.Service, s.Version, t.route.Name, rollOut.StartedAt}
 	o := f.versionOutcomes.counts[key]
 	if o.Target != rollOut.TargetVersion {
 		o = messenger.Outcomes{Service: s.Service, Version: s.Version, Target: rollOut.TargetVersion, Route: t.route.Name}
@@ -84,6 +87,9 @@
 	var list []messenger.Outcomes
 	f.versionOutcomes.mu.Lock()
 	defer f.versionOutcomes.mu.Unlock()
+	maps.DeleteFunc(f.versionOutcomes.counts, func(key outcomeKey, _ messenger.Outcomes) bool {
+		return view.rollOuts[key.service].StartedAt != key.rollOutStartedAt
+	})
 	for service := range view.rollOuts {
 		v := view.splitVersions(service)
 		if v.rollOut == nil {
--- a/internal/registrar/roster.go
+++ b/internal/registrar/roster.go
@@ -62,6 +62,26 @@
 		// A server that is leaving can return only with a new incarnation.
 		m.State = old.State
 	}
+	if known {
+		r.leaveAddress(old, m)
+	}
+	m = r.takeAddress(m)
+	r.members[m.Name] = m
+	old.Sequence, old.WarmUp = m.Sequence, m.WarmUp
+	return true, !known || old != m
+}
+
+// leaveAddress gives up the address that a server had before it moved, so that a later owner of it does not replace the
+// server.
+func (r *Roster) leaveAddress(old, m Member) {
+	if old.Address != m.Address && r.ownerByAddress[old.Address] == m.Name {
+		delete(r.ownerByAddress, old.Address)
+	}
+}
+
+// takeAddress makes a server the owner of its address and returns it. Of two servers at one address, the one with the
+// earlier incarnation is marked as replaced.
+func (r *Roster) takeAddress(m Member) Member {
 	owner, hasOwner := r.members[r.ownerByAddress[m.Address]]
 	if hasOwner && owner.Name != m.Name && m.State != MemberStateReplaced {
 		if m.Incarnation <= owner.Incarnation {
@@ -75,9 +95,7 @@
 	if m.State != MemberStateReplaced {
 		r.ownerByAddress[m.Address] = m.Name
 	}
-	r.members[m.Name] = m
-	old.Sequence, old.WarmUp = m.Sequence, m.WarmUp
-	return true, !known || old != m
+	return m
 }
 
 func isSupersededBy(old, m Member) bool {
--- a/internal/registrar/roster_test.go
+++ b/internal/registrar/roster_test.go
@@ -81,3 +81,27 @@
 		}
 	}
 }
+
+// A server starts again at another address, and its old address goes to another server: both serve, in whatever order the
+// announcements arrive.
+func TestServerThatMovedIsNotReplaced(t *testing.T) {
+	announcements := []Member{
+		{Name: "a", Incarnation: 1, Sequence: 1, Address: "one"},
+		{Name: "a", Incarnation: 5, Sequence: 1, Address: "two"},
+		{Name: "b", Incarnation: 9, Sequence: 1, Address: "one"},
+	}
+	orders := map[string][]int{"in order": {0, 1, 2}, "the new owner first": {2, 0, 1}, "the move last": {0, 2, 1}, "reversed": {2, 1, 0}}
+	for name, order := range orders {
+		t.Run(name, func(t *testing.T) {
+			r := NewRoster()
+			for _, i := range order {
+				r.Merge(announcements[i])
+			}
+			for _, m := range r.Members() {
+				if m.State != MemberStateServing {
+					t.Errorf("server %s at %s has state %d", m.Name, m.Address, m.State)
+				}
+			}
+		})
+	}
+}
--- a/internal/steward/changes.go
+++ b/internal/steward/changes.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // PublishPolicy commits a policy and returns the version in force. An instance that has applied the same or a newer
@@ -76,6 +78,7 @@
 		clear(s.oldVersionSessions)
 	}
 	now := s.deps.Telemetry.Clock.Now()
+	s.forgetOldRollOuts()
 	for _, r := range rollOuts {
 		key := rollOutKey(r)
 		if _, ok := s.rollOutStartedAt[key]; !ok {
@@ -88,6 +91,16 @@
 	s.sendToEntries(messenger.Packet{RollOuts: s.rollOutsWithAge()})
 }
 
+// forgetOldRollOuts drops what is kept about roll-outs that are no longer listed.
+func (s *Steward) forgetOldRollOuts() {
+	listed := map[string]bool{}
+	for _, r := range s.rollOuts {
+		listed[rollOutKey(r)] = true
+	}
+	maps.DeleteFunc(s.rollOutStartedAt, func(key string, _ timer.Millis) bool { return !listed[key] })
+	maps.DeleteFunc(s.rollOutJudges, func(key string, _ *rollOutJudge) bool { return !listed[key] })
+}
+
 // sendPolicy sends the policy to the entry instances of the same data centre and only offers its version to the others.
 // The text then crosses between data centres only for a data centre without a control instance.
 func (s *Steward) sendPolicy() {
--- a/internal/steward/rollouts.go
+++ b/internal/steward/rollouts.go
@@ -68,9 +68,9 @@
 	return "", ""
 }
 
-// rollOutKey identifies a roll-out among those of all services.
+// rollOutKey identifies a roll-out; a version may be rolled out again after it was rolled back.
 func rollOutKey(r applier.RollOut) string {
-	return r.Service + " " + r.TargetVersion
+	return fmt.Sprint(r.Service, " ", r.TargetVersion, " ", int64(r.StartedAt))
 }
 
 // settleRollOuts ends the roll-outs that their judges have decided, if this instance leads.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -81,7 +81,7 @@
 	policy          applier.Policy
 	rollOuts        []applier.RollOut
 	// rollOutStartedAt is the time at which this instance first saw each roll-out, or the leader's start time where that
-	// is earlier; the key is "SERVICE TARGET".
+	// is earlier, by rollOutKey.
 	rollOutStartedAt map[string]timer.Millis
 	// rollOutJudges holds the judge of each running roll-out while this instance leads, by rollOutKey.
 	rollOutJudges map[string]*rollOutJudge
@@ -190,6 +190,8 @@
 	select {
 	case <-done:
 		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
 	case <-s.tomb.Dead():
 		return trace.ConnectionProblem(nil, "the instance is stopping")
 	}
@@ -336,17 +338,6 @@
 	s.sendControlAddresses()
 }
 
-// sendControlAddresses sends the addresses of the control instances to the entry instances if they have changed: most
-// links that open are those of entry instances, which change nothing.
-func (s *Steward) sendControlAddresses() {
-	addresses := s.controlAddresses()
-	if slices.Equal(addresses, s.sentControlAddresses) {
-		return
-	}
-	s.sentControlAddresses = addresses
-	s.sendToEntries(messenger.Packet{ControlAddresses: addresses})
-}
-
 // addNew adds keys to a set and returns those that were not in it.
 func addNew(set map[uint64]bool, keys []uint64) []uint64 {
 	var added []uint64
@@ -399,41 +390,3 @@
 	}
 	s.outcomes[incarnationKey(g)] = rows
 }
-
-// relayedEntries returns the links to the entry instances to which this instance passes on what it hears from another
-// control instance: those of its own data centre and of data centres without a control instance. All others hear it from
-// the instance that was told first and from their own one.
-func (s *Steward) relayedEntries() []*messenger.Link {
-	hasControl := map[string]bool{}
-	for _, g := range s.connections {
-		if g.Address != "" {
-			hasControl[g.DataCentre] = true
-		}
-	}
-	var list []*messenger.Link
-	for conn, g := range s.connections {
-		if g.Address == "" && (g.DataCentre == s.deps.Self.DataCentre || !hasControl[g.DataCentre]) {
-			list = append(list, conn)
-		}
-	}
-	return list
-}
-
-// sendToEntries sends a packet to every connected entry instance.
-func (s *Steward) sendToEntries(p messenger.Packet) {
-	for conn, g := range s.connections {
-		if g.Address == "" {
-			conn.Send(p)
-		}
-	}
-}
-
-// sendToAll sends a packet once to every connected entry and control instance.
-func (s *Steward) sendToAll(p messenger.Packet) {
-	s.sendToEntries(p)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for _, conn := range s.connectionByAddress {
-		conn.Send(p)
-	}
-}
