Send the whole roster only to the entry instances that a control instance relays for

Each control instance sent all 3,000 rows to each entry instance whose link opened. Change: rows go at the opening to entry instances of the own data centre and of those without a control instance, and when a data centre loses its last one; an entry instance asks for them if it has no link to its own data centre.

--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -63,6 +63,8 @@
 	// packets, the reply shows that everything the control instance had sent before has arrived.
 	SyncRequest uint64 `cbor:"18,keyasint,omitempty"`
 	SyncReply   uint64 `cbor:"19,keyasint,omitempty"`
+	// RequestsRoster asks a control instance for all rows of its roster.
+	RequestsRoster bool `cbor:"20,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/sending.go
+++ b/internal/steward/sending.go
@@ -6,25 +6,54 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 )
 
-// relayedEntries returns the links to the entry instances to which this instance passes on what it hears from another
-// control instance: those of its own data centre and of data centres without a control instance. All others hear it from
-// the instance that was told first and from their own one.
-func (s *Steward) relayedEntries() []*messenger.Link {
-	hasControl := map[string]bool{}
+// isRelayFor reports whether this instance passes on to the entry instances of a data centre what it hears from other
+// control instances: in its own data centre, and where there is no control instance. All others hear it from the instance
+// that was told first and from their own one.
+func (s *Steward) isRelayFor(dataCentre string) bool {
+	if dataCentre == s.deps.Self.DataCentre {
+		return true
+	}
 	for _, g := range s.connections {
-		if g.Address != "" {
-			hasControl[g.DataCentre] = true
+		if g.Address != "" && g.DataCentre == dataCentre {
+			return false
 		}
 	}
+	return true
+}
+
+// relayedEntries returns the links to the entry instances that this instance is a relay for.
+func (s *Steward) relayedEntries() []*messenger.Link {
+	relayFor := map[string]bool{}
 	var list []*messenger.Link
 	for conn, g := range s.connections {
-		if g.Address == "" && (g.DataCentre == s.deps.Self.DataCentre || !hasControl[g.DataCentre]) {
+		if g.Address != "" {
+			continue
+		}
+		is, known := relayFor[g.DataCentre]
+		if !known {
+			is = s.isRelayFor(g.DataCentre)
+			relayFor[g.DataCentre] = is
+		}
+		if is {
 			list = append(list, conn)
 		}
 	}
 	return list
 }
 
+// takeOverRelay sends the whole roster to the entry instances of a data centre that has lost its last control instance:
+// one that has started meanwhile may lack it.
+func (s *Steward) takeOverRelay(dataCentre string) {
+	if dataCentre == s.deps.Self.DataCentre || !s.isRelayFor(dataCentre) {
+		return
+	}
+	for conn, g := range s.connections {
+		if g.Address == "" && g.DataCentre == dataCentre {
+			conn.Send(messenger.Packet{Members: s.roster.Members()})
+		}
+	}
+}
+
 // sendToEntries sends a packet to every connected entry instance.
 func (s *Steward) sendToEntries(p messenger.Packet) {
 	for conn, g := range s.connections {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -287,6 +287,9 @@
 		policy := s.policy
 		conn.Send(messenger.Packet{Policy: &policy})
 	}
+	if p.RequestsRoster {
+		conn.Send(messenger.Packet{Members: s.roster.Members()})
+	}
 	if p.SyncRequest > 0 {
 		conn.Send(messenger.Packet{SyncReply: p.SyncRequest})
 	}
@@ -325,8 +328,11 @@
 		s.mu.Unlock()
 	}
 	s.deps.Telemetry.Log.Info("instance reached", "instance", peer.Instance, "data-centre", peer.DataCentre)
-	p := messenger.Packet{Members: s.roster.Members(), ControlAddresses: s.controlAddresses(), RollOuts: s.rollOutsWithAge(),
+	p := messenger.Packet{ControlAddresses: s.controlAddresses(), RollOuts: s.rollOutsWithAge(),
 		CrashingRequests: sortedKeys(s.crashingRequests), OldVersionSessions: sortedKeys(s.oldVersionSessions)}
+	if peer.Address != "" || s.isRelayFor(peer.DataCentre) {
+		p.Members = s.roster.Members()
+	}
 	if peer.Address == "" {
 		p.OfferedPolicyVersion = s.policy.Version
 		if peer.DataCentre == s.deps.Self.DataCentre && s.policy.Version > 0 {
@@ -374,6 +380,7 @@
 			s.connectionByAddress[peer.Address] = other
 		}
 	}
+	s.takeOverRelay(peer.DataCentre)
 }
 
 // incarnationKey identifies one process run of an instance.
--- a/internal/subscriber/reports.go
+++ b/internal/subscriber/reports.go
@@ -52,3 +52,14 @@
 		nearest.Send(p)
 	}
 }
+
+// requestRoster asks one control instance for its roster if none of the own data centre is linked, which would send it
+// unasked.
+func (s *Subscriber) requestRoster() {
+	for l := range s.links {
+		if l.PeerGreeting().DataCentre == s.deps.Self.DataCentre {
+			return
+		}
+	}
+	s.sendToNearest(messenger.Packet{RequestsRoster: true})
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -219,6 +219,9 @@
 
 func (s *Subscriber) handleOpened(l *messenger.Link) {
 	s.links[l] = true
+	if len(s.links) == 1 {
+		s.requestRoster()
+	}
 	if s.syncUntil > 0 {
 		l.Send(messenger.Packet{SyncRequest: s.syncNumber})
 	}
@@ -228,6 +231,9 @@
 func (s *Subscriber) handleClosed(l *messenger.Link) {
 	delete(s.links, l)
 	delete(s.controlAddresses, l)
+	if l.PeerGreeting().DataCentre == s.deps.Self.DataCentre {
+		s.requestRoster()
+	}
 	s.deps.Telemetry.Log.Warn("control instance lost", "instance", l.PeerGreeting().Instance, "left", len(s.links))
 }
 
