--- a/internal/forwarder/alarms_test.go
+++ b/internal/forwarder/alarms_test.go
@@ -1,9 +1,12 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
@@ -88,6 +91,27 @@
 	}
 }
 
+// A caller leaves while a connection is opened: that is no fault of the server.
+func TestCallerThatLeavesDuringTheDialRaisesNoAlarm(t *testing.T) {
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s": {respond: replyDone}})
+	ctx, leave := context.WithCancel(context.Background())
+	env.f.exchange.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	env.members[0].Incarnation++
+	env.publishView()
+	req := &Request{ID: "id", Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", ArrivedAt: env.f.deps.Telemetry.Clock.Now()}
+	func() {
+		defer func() { _ = recover() }()
+		env.f.Serve(ctx, req, httptest.NewRecorder())
+	}()
+	if suspended, _ := env.f.serversByName["s"].availability(env.f.deps.Telemetry.Clock.Now()); suspended || len(env.alarms) > 0 {
+		t.Fatalf("suspended %t, alarms %v", suspended, env.alarms)
+	}
+}
+
 // A server is announced as serving again after it has drained: its connections must be kept again.
 func TestServerThatServesAgainKeepsConnections(t *testing.T) {
 	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s": {respond: replyDone}})
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -133,8 +133,10 @@
 		x.server.recordRefusal(now, status)
 	case attemptNotSent:
 		t.failedDials++
-		x.server.recordFailure(now, false)
-		t.f.reportAlarm(x.server, now, errors.Is(x.err, syscall.ECONNREFUSED))
+		if ctx.Err() == nil {
+			x.server.recordFailure(now, false)
+			t.f.reportAlarm(x.server, now, errors.Is(x.err, syscall.ECONNREFUSED))
+		}
 	case attemptUnknown:
 		t.mayHaveRun = true
 		if ctx.Err() == nil {
