Every stand-in fleet waits until its instances are connected

Traced: the demo's fleet began before each instance had heard the leader's first heartbeat, as in TestOrdersRunAtMostOnceDuringOneWayPartition; the refusals were true. No check changed, no code of an instance.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/coordinator"
 	"github.com/eelgrasshook/eelgrasshook/internal/imitator"
+	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
 	"github.com/eelgrasshook/eelgrasshook/internal/launcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -84,9 +86,20 @@
 			return nil, trace.NewAggregate(err, f.Stop())
 		}
 	}
+	if err := f.WaitForModes(indexer.ModeConnected); err != nil {
+		return nil, trace.NewAggregate(err, f.Stop())
+	}
 	return f, nil
 }
 
+// WaitForModes waits until every instance is in the given mode. A loaded machine delays the leader's first heartbeat
+// beyond the silence; until it arrives, an instance is cut off and refuses orders.
+func (f *Fleet) WaitForModes(mode indexer.Mode) error {
+	return f.WaitFor(fmt.Sprintf("mode %s at every instance", mode), func() bool {
+		return !slices.ContainsFunc(f.Instances, func(i *launcher.Instance) bool { return i.ViewSet().Mode != mode })
+	})
+}
+
 // reserveAddresses reserves an address for each instance before any starts, so that all can be listed as seeds.
 func (f *Fleet) reserveAddresses() error {
 	var err error
--- a/internal/assembler/record_test.go
+++ b/internal/assembler/record_test.go
@@ -77,10 +77,6 @@
 			t.Error(err)
 		}
 	})
-	// A loaded machine delays the leader's first heartbeat beyond the silence; until it arrives, an instance is cut off.
-	for n := range f.Instances {
-		waitForMode(t, f, n, indexer.ModeConnected)
-	}
 	return f, c
 }
 
