--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -37,6 +37,8 @@
 	conn   *exchanger.Conn
 	res    *exchanger.Response
 	sentAt timer.Millis
+	// firstEventAt is when the first event of a stream arrived; 0 before that.
+	firstEventAt timer.Millis
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
 	urgency        int
 	pendingPrefill float64
@@ -47,6 +49,17 @@
 	err           error
 }
 
+// progress tells in logs how much of a response has arrived.
+func (x *exchange) progress() string {
+	switch {
+	case x.firstEventAt > 0:
+		return "events"
+	case x.res != nil:
+		return "head"
+	}
+	return "none"
+}
+
 // releasePrefill removes the prompt from the server's prefill queue; it is called at the first byte or at the end of
 // the attempt.
 func (x *exchange) releasePrefill() {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -149,7 +149,8 @@
 		return t.timeoutRefusal()
 	}
 	t.f.deps.Telemetry.Log.Info("attempt failed", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
-		"outcome", o, "error", x.err, "since-sent-ms", int64(now-x.sentAt), "load", x.server.load(now))
+		"outcome", o, "error", x.err, "since-sent-ms", int64(now-x.sentAt), "load", x.server.load(now),
+		"progress", x.progress(), "shared-parts", t.sharedPartIDs())
 	if t.canRetry() || o == attemptNotSent && t.canDialAgain() {
 		return nil
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -58,6 +58,15 @@
 	return h.Sum64()
 }
 
+// sharedPartIDs returns the ids of the prompt parts that other requests may share: all but the last.
+func (r *Request) sharedPartIDs() []string {
+	var list []string
+	for i := range len(r.PromptParts) - 1 {
+		list = append(list, r.PromptParts[i].ID)
+	}
+	return list
+}
+
 // AttemptInfo holds what the system adds to a request for one backend server.
 type AttemptInfo struct {
 	Server    string
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -131,7 +131,8 @@
 	t.recordServerFailure(x.server, now)
 	t.recordBrokenConn(x.server, now)
 	t.f.deps.Telemetry.Log.Info("stream broke", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
-		"last-event", t.LastEventID, "error", err, "after-ms", int64(now-x.sentAt))
+		"last-event", t.LastEventID, "error", err, "after-ms", int64(now-x.sentAt), "progress", x.progress(),
+		"shared-parts", t.sharedPartIDs())
 	if t.canRetry() {
 		return false, nil
 	}
@@ -156,6 +157,7 @@
 		now := t.f.deps.Telemetry.Clock.Now()
 		x.server.lastByte.Store(int64(now))
 		if first {
+			x.firstEventAt = now
 			t.f.recordFirstByte(t, x, now-x.sentAt)
 		}
 		if err := t.writeEvents(x, events, now); err != nil {
