Block prompt parts that crash backend servers

Cause: crashes were counted by a digest of the whole request, while these requests share just one part of the prompt; not counted at all once the head of the answer had arrived, which is when these crash; and told to the fleet only after two at the same instance. What was counted were bystanders that waited for a head. The class of fault: evidence that is kept under the wrong identity, in the wrong phase, in the wrong place.

Change: package quarantiner keeps the reports of all instances as sets (so that the order does not matter): which requests had no answer yet, or one that had just begun, when their server went down, with the parts that others may share. A part is blocked after three crashes of at least a second's span that no answer to it has disproved; the most specific part first; its crashes no longer count against bystanders. Requests as a whole are blocked after two, now over all instances. Control instances keep the evidence and give it to instances that start later. A server is probed once for all of its broken requests, and the departure of a caller during the probe is no crash any more.

TestCrashesCountOnlyForAWhile moves to the new package with the same bounds; TestCrashingRequestIsRefusedAfterTwoServers asks for both reports where it asked for one digest.

Why it works: whatever else such requests hold, the part is what their crashes share, and an answer to any other holder acquits the parts that sound prompts share.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -39,6 +39,8 @@
 	sentAt timer.Millis
 	// firstEventAt is when the first event of a stream arrived; 0 before that.
 	firstEventAt timer.Millis
+	// survived is true once the answer has gone on for survivalTime.
+	survived bool
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
 	urgency        int
 	pendingPrefill float64
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -46,8 +47,9 @@
 	Codec    Codec
 	Dial     exchanger.Dial
 	Config   Config
-	// OnCrashingRequest is called with the digest of a request that has crashed several backend servers.
-	OnCrashingRequest func(digest uint64)
+	// OnCrash and OnAcquittal are called with what this instance found out about requests that crash backend servers.
+	OnCrash     func([]quarantiner.CrashReport)
+	OnAcquittal func([]quarantiner.Acquittal)
 	// AwaitCurrent waits after a standstill of the process until the view is current, and reports whether the process had
 	// stood still.
 	AwaitCurrent func(context.Context) bool
@@ -67,7 +69,7 @@
 	sessions          *sessions
 	versionOutcomes   *versionOutcomes
 	firstByteAverages sync.Map
-	crashCounts       *crashCounts
+	evidence          *quarantiner.Evidence
 	prefillEstimator  *prefillEstimator
 	// policyReady is closed when the first policy arrives.
 	policyReady        chan struct{}
@@ -82,7 +84,7 @@
 func NewForwarder(deps Deps) *Forwarder {
 	f := &Forwarder{
 		deps: deps, serversByName: map[string]*server{}, retryBudget: newRetryBudget(deps.Config, deps.Telemetry.Clock.Now),
-		sessions: newSessions(deps.Config.SessionTTL), versionOutcomes: newVersionOutcomes(), crashCounts: newCrashCounts(),
+		sessions: newSessions(deps.Config.SessionTTL), versionOutcomes: newVersionOutcomes(), evidence: quarantiner.NewEvidence(),
 		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
 		firstByteLatency:   deps.Telemetry.Histogram("requests.first-byte-ms"),
@@ -115,6 +117,7 @@
 			return nil
 		}
 		f.sessions.removeExpired(f.deps.Telemetry.Clock.Now())
+		f.evidence.Expire(f.deps.Telemetry.Clock.Now())
 		for _, list := range f.fleetView.Load().servers {
 			for _, s := range list {
 				s.pool.Expire()
@@ -178,6 +181,10 @@
 	// cachedPrefixKey is the result of prefixKey for cachedPrefixModel; 0 until it is computed.
 	cachedPrefixKey   uint64
 	cachedPrefixModel string
+	// requestDigest and partDigests are valid once hasDigests is true.
+	requestDigest uint64
+	partDigests   []uint64
+	hasDigests    bool
 }
 
 // Serve forwards one request and writes its response.
@@ -235,9 +242,8 @@
 			return t, &Refusal{Status: http.StatusUnauthorized, Reason: "the key is unknown"}
 		}
 	}
-	if t.view.CrashingRequests[req.Digest()] {
-		return t, &Refusal{Status: http.StatusServiceUnavailable, Reason: "this request has crashed backend servers",
-			RetryAfter: longRetryAfter}
+	if t.crashesServers() {
+		return t, t.crashRefusal()
 	}
 	t.service = t.route.PickService(rand.Float64())
 	timeout := t.route.Timeout
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -68,12 +69,13 @@
 
 // testEnv is a forwarder with fake backend servers, without a network.
 type testEnv struct {
-	t       *testing.T
-	f       *Forwarder
-	servers map[string]*fakeServer
-	members []registrar.Member
-	policy  *matcher.Policy
-	crashed []uint64
+	t            *testing.T
+	f            *Forwarder
+	servers      map[string]*fakeServer
+	members      []registrar.Member
+	policy       *matcher.Policy
+	crashReports []quarantiner.CrashReport
+	acquittals   []quarantiner.Acquittal
 	// onDial, if set, is called once, when the first connection is opened.
 	onDial func()
 	// stoodStill makes the next check find that the process stood still.
@@ -115,10 +117,19 @@
 			MinConfidence: 60, ConfidenceGain: 14, MaxBufferedBytes: 16 << 20, Answers: exchanger.Limits{
 				MaxHeadBytes: 64 << 10, HeadTimeout: 3 * timer.Second, MaxSkippedBytes: 1 << 20, MaxBodyBytes: 8 << 20,
 				MaxEventBytes: 256 << 10, MinBodyRate: 16 << 10, BodyGrace: 2 * timer.Second}},
-		OnCrashingRequest: func(d uint64) { e.mu.Lock(); e.crashed = append(e.crashed, d); e.mu.Unlock() },
-		AwaitCurrent:      func(context.Context) bool { return e.stoodStill.CompareAndSwap(true, false) },
-		OnServerAlarm:     func(a messenger.ServerAlarm) { e.mu.Lock(); e.alarms = append(e.alarms, a); e.mu.Unlock() },
-		OnLongPrefill:     func() {},
+		OnCrash: func(list []quarantiner.CrashReport) {
+			e.mu.Lock()
+			e.crashReports = append(e.crashReports, list...)
+			e.mu.Unlock()
+		},
+		OnAcquittal: func(list []quarantiner.Acquittal) {
+			e.mu.Lock()
+			e.acquittals = append(e.acquittals, list...)
+			e.mu.Unlock()
+		},
+		AwaitCurrent:  func(context.Context) bool { return e.stoodStill.CompareAndSwap(true, false) },
+		OnServerAlarm: func(a messenger.ServerAlarm) { e.mu.Lock(); e.alarms = append(e.alarms, a); e.mu.Unlock() },
+		OnLongPrefill: func() {},
 	})
 	route.Name, route.Host, route.PathPrefix, route.AuthExempt = "r", "h", "/", true
 	if route.Timeout == 0 {
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -34,8 +34,8 @@
 
 // acquireServer waits for a server with a free slot.
 func (t *task) acquireServer(ctx context.Context) (*server, *Refusal) {
-	if t.hasCrashedServers() {
-		return nil, t.badGatewayRefusal("this request has crashed backend servers")
+	if t.crashesServers() {
+		return nil, t.crashRefusal()
 	}
 	// The servers may have changed since the last attempt; the route stays as matched on arrival.
 	t.view = t.f.fleetView.Load()
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -23,7 +23,7 @@
 		}
 		x, outcome := t.send(ctx, s, t.plainWaitPolicy())
 		if outcome == attemptResponded {
-			done, refusal := t.relayPlain(x)
+			done, refusal := t.relayPlain(ctx, x)
 			if done {
 				return refusal
 			}
@@ -44,7 +44,7 @@
 }
 
 // relayPlain reads the complete response and sends it to the caller; done means that no other attempt is needed.
-func (t *task) relayPlain(x *exchange) (done bool, refusal *Refusal) {
+func (t *task) relayPlain(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
 	body, err := x.res.ReadBody(t.canRetryRun)
 	now := t.f.deps.Telemetry.Clock.Now()
@@ -54,6 +54,9 @@
 		t.recordBrokenConn(x.server, now)
 		t.f.deps.Telemetry.Log.Warn("answer is incomplete or invalid", "request", t.ID, "server", x.server.Name,
 			"error", err)
+		if ctx.Err() == nil {
+			t.recordCrash(ctx, x)
+		}
 		return !t.canRetry(), t.badGatewayRefusal("the backend server's answer broke off")
 	}
 	defer body.Free()
@@ -72,6 +75,9 @@
 		return true, nil
 	}
 	x.server.recordSuccess()
+	if x.res.StatusCode < http.StatusMultipleChoices {
+		t.recordSurvival()
+	}
 	t.f.recordFirstByte(t, x, took)
 	t.writeWholeResponse(x, body.Bytes, now)
 	return true, nil
@@ -142,7 +148,7 @@
 		if ctx.Err() == nil {
 			t.recordServerFailure(x.server, now)
 			t.recordBrokenConn(x.server, now)
-			t.recordCrash(ctx, x.server)
+			t.recordCrash(ctx, x)
 		}
 	}
 	if ctx.Err() != nil {
--- a/internal/forwarder/plain_test.go
+++ b/internal/forwarder/plain_test.go
@@ -98,6 +98,7 @@
 		}
 		servers[name] = b
 	}
+	const maxCrashes = 2
 	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, servers)
 	for range 4 {
 		env.serve(Request{Body: []byte("poison")})
@@ -107,7 +108,7 @@
 	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	if len(env.crashed) == 0 {
+	if len(env.crashReports) < maxCrashes {
 		t.Fatal("the request was not reported to the fleet")
 	}
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -67,6 +67,15 @@
 	return list
 }
 
+// sharedPartDigests returns the digests of the prompt parts that other requests may share, in the order of the prompt.
+func (r *Request) sharedPartDigests() []uint64 {
+	var list []uint64
+	for _, id := range r.sharedPartIDs() {
+		list = append(list, xxhash.Sum64String(id))
+	}
+	return list
+}
+
 // AttemptInfo holds what the system adds to a request for one backend server.
 type AttemptInfo struct {
 	Server    string
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -52,6 +52,8 @@
 	// incidentAt is the start of the last incident of broken connections, in milliseconds.
 	incidentAt atomic.Int64
 
+	crashProbe crashProbe
+
 	mu sync.Mutex
 	// reportedLoad is the load that the server last reported, and ownAtReport this instance's requests in flight at
 	// that time.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -101,7 +101,7 @@
 	defer func() { x.release(false) }()
 	if x.res.StatusCode >= http.StatusMultipleChoices {
 		if t.writer.status == 0 {
-			return t.relayPlain(x)
+			return t.relayPlain(ctx, x)
 		}
 		t.mayHaveRun = true
 		t.recordServerFailure(x.server, t.f.deps.Telemetry.Clock.Now())
@@ -121,6 +121,7 @@
 	if err == nil {
 		x.release(true)
 		x.server.recordSuccess()
+		t.recordSurvival()
 		t.f.recordOutcome(t, x.server, gradeGood)
 		return true, nil
 	}
@@ -133,6 +134,7 @@
 	t.f.deps.Telemetry.Log.Info("stream broke", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
 		"last-event", t.LastEventID, "error", err, "after-ms", int64(now-x.sentAt), "progress", x.progress(),
 		"shared-parts", t.sharedPartIDs())
+	t.recordCrash(ctx, x)
 	if t.canRetry() {
 		return false, nil
 	}
@@ -160,6 +162,10 @@
 			x.firstEventAt = now
 			t.f.recordFirstByte(t, x, now-x.sentAt)
 		}
+		if !x.survived && now-x.firstEventAt >= survivalTime {
+			x.survived = true
+			t.recordSurvival()
+		}
 		if err := t.writeEvents(x, events, now); err != nil {
 			return err
 		}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/forwarder"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -75,10 +76,11 @@
 			MinConfidence: int(float64(settings.Cascade.Confidence) * percent), ConfidenceGain: int(float64(settings.Cascade.Lift) * percent),
 			Answers: answerLimits(settings), MaxBufferedBytes: int64(settings.Answers.MaxBuffered),
 		},
-		OnCrashingRequest: func(digest uint64) { e.subscriber.ReportCrashingRequest(digest) },
-		AwaitCurrent:      func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
-		OnServerAlarm:     func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
-		OnLongPrefill:     func() { e.subscriber.SendPrefillNow() },
+		OnCrash:       func(list []quarantiner.CrashReport) { e.subscriber.ReportCrashes(list) },
+		OnAcquittal:   func(list []quarantiner.Acquittal) { e.subscriber.ReportAcquittals(list) },
+		AwaitCurrent:  func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
+		OnServerAlarm: func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
+		OnLongPrefill: func() { e.subscriber.SendPrefillNow() },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
 		Telemetry: telemetry, Self: messenger.Greeting{
@@ -87,7 +89,7 @@
 		RegionOf: settings.Instance.RegionOf(), Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
 		PendingPrefill: e.forwarder.PendingPrefill, SetOthersPrefill: e.forwarder.SetOthersPrefill,
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
-		SuspendServers: e.forwarder.SuspendServers,
+		SuspendServers: e.forwarder.SuspendServers, AddCrashReports: e.forwarder.AddCrashReports, AddAcquittals: e.forwarder.AddAcquittals,
 	})
 	handler := platform.RequestHandler{
 		Telemetry: telemetry, Limits: e.forwarder.Limits, ClosesConnections: e.stopping.Load,
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -28,6 +28,8 @@
 	controlAddrs [3]string
 	entry        *Entry
 	callersAddr  string
+	// entrySettings are the settings of entry instances without the name and the listen addresses.
+	entrySettings configurer.Settings
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -65,17 +67,27 @@
 		}
 		d.control[n] = c
 	}
-	s := base
-	s.Instance.Name, s.Instance.DataCentre = "e1", "a"
-	s.Listen.Callers, s.Listen.Ready, s.Listen.Links = loopbackAddr(0, callerPort), loopbackAddr(0, readyPort), loopbackAddr(3, linkPort)
-	if d.entry, err = NewEntry(telemetry, s); err != nil {
-		t.Fatal(err)
+	d.entrySettings = base
+	d.entrySettings.Listen.Links = loopbackAddr(3, linkPort)
+	d.callersAddr = string(loopbackAddr(0, callerPort))
+	d.entry = d.startEntry("e1", d.callersAddr, string(loopbackAddr(0, readyPort)))
+	return d
+}
+
+// startEntry starts an entry instance.
+func (d *deployment) startEntry(name, callersAddr, readyAddr string) *Entry {
+	d.t.Helper()
+	s := d.entrySettings
+	s.Instance.Name, s.Instance.DataCentre = name, "a"
+	s.Listen.Callers, s.Listen.Ready = decoder.Address(callersAddr), decoder.Address(readyAddr)
+	e, err := NewEntry(observer.NewDiscard(timer.NewSystemClock()), s)
+	if err != nil {
+		d.t.Fatal(err)
 	}
-	if err := d.entry.Start(); err != nil {
-		t.Fatal(err)
+	if err := e.Start(); err != nil {
+		d.t.Fatal(err)
 	}
-	d.callersAddr = string(s.Listen.Callers)
-	return d
+	return e
 }
 
 func (d *deployment) stop() {
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -43,8 +44,6 @@
 	// ControlAddresses lists the addresses of control instances.
 	ControlAddresses []string   `cbor:"6,keyasint,omitempty"`
 	Outcomes         []Outcomes `cbor:"7,keyasint,omitempty"`
-	// CrashingRequests lists the digests of requests that crashed backend servers.
-	CrashingRequests []uint64 `cbor:"8,keyasint,omitempty"`
 	// OfferedPolicyVersion is a policy version that the sender can send; RequestedPolicyVersion is one that the sender
 	// requests.
 	OfferedPolicyVersion   int64 `cbor:"9,keyasint,omitempty"`
@@ -65,6 +64,10 @@
 	SyncReply   uint64 `cbor:"19,keyasint,omitempty"`
 	// RequestsRoster asks a control instance for all rows of its roster.
 	RequestsRoster bool `cbor:"20,keyasint,omitempty"`
+	// CrashReports and Acquittals are new evidence on requests that crash backend servers; the key 8 was used for digests of
+	// such requests.
+	CrashReports []quarantiner.CrashReport `cbor:"21,keyasint,omitempty"`
+	Acquittals   []quarantiner.Acquittal   `cbor:"22,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -1,2 +1,2 @@
-// Package quarantiner detects requests that crash backend servers and blocks them after the second crash.
+// Package quarantiner detects requests, and parts of prompts, that crash backend servers, and blocks them.
 package quarantiner
--- /dev/null
+++ b/internal/quarantiner/evidence_test.go
@@ -0,0 +1,197 @@
+package quarantiner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// Digests of prompt parts: common is shared by all prompts, subject by some, and deadly crashes servers.
+const (
+	common uint64 = iota + 1
+	subject
+	deadly
+	otherSubject
+	bystander
+)
+
+// crashed returns the reports on a server that went down at the given time; the requests are numbered by their position.
+func crashed(server int, at timer.Millis, prompts ...[]uint64) []CrashReport {
+	var list []CrashReport
+	for i, parts := range prompts {
+		list = append(list, CrashReport{Server: fmt.Sprint("s", server), Incarnation: 1, Request: uint64(1000*server + i),
+			Parts: parts, Age: now - at})
+	}
+	return list
+}
+
+// now is the time at which the reports of the tests arrive, in milliseconds.
+const now timer.Millis = 100_000
+
+func TestVerdict(t *testing.T) {
+	deadlyPrompt, bystanderPrompt := []uint64{common, subject, deadly}, []uint64{common, otherSubject, bystander}
+	acquit := func(server int, parts ...uint64) []Acquittal {
+		var list []Acquittal
+		for _, p := range parts {
+			list = append(list, Acquittal{Server: fmt.Sprint("s", server), Incarnation: 1, Trait: p})
+		}
+		return list
+	}
+	tests := map[string]struct {
+		reports    [][]CrashReport
+		acquittals [][]Acquittal
+		want       []uint64
+	}{
+		"two crashes may be a coincidence": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 2000, deadlyPrompt)},
+		},
+		"the most specific part of three crashes is blocked": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 500, deadlyPrompt), crashed(3, 1200, deadlyPrompt)},
+			want:    []uint64{deadly},
+		},
+		// A rack loses its power.
+		"servers that go down together block no part": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 10, deadlyPrompt), crashed(3, 40, deadlyPrompt),
+				crashed(4, 60, deadlyPrompt)},
+		},
+		"a part that was answered since does not count": {
+			reports:    [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 500, deadlyPrompt), crashed(3, 1200, deadlyPrompt)},
+			acquittals: [][]Acquittal{acquit(2, common, subject, deadly)},
+		},
+		// A bystander and the cause are retried at the same servers.
+		"two parts that explain the same crashes are not blocked yet": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt, bystanderPrompt), crashed(2, 500, deadlyPrompt, bystanderPrompt),
+				crashed(3, 1200, deadlyPrompt, bystanderPrompt)},
+		},
+		"the next crash tells the cause from the bystander": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt, bystanderPrompt), crashed(2, 500, deadlyPrompt, bystanderPrompt),
+				crashed(3, 1200, deadlyPrompt, bystanderPrompt), crashed(4, 1300, deadlyPrompt)},
+			want: []uint64{deadly},
+		},
+		"after five crashes both are blocked": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt, bystanderPrompt), crashed(2, 500, deadlyPrompt, bystanderPrompt),
+				crashed(3, 1200, deadlyPrompt, bystanderPrompt), crashed(4, 1300, deadlyPrompt, bystanderPrompt),
+				crashed(5, 1400, deadlyPrompt, bystanderPrompt)},
+			want: []uint64{deadly, bystander},
+		},
+		// One of the reporting instances is cut off.
+		"a part above waits while a more specific one may be the cause": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 500, deadlyPrompt), crashed(3, 1200, []uint64{common, subject})},
+		},
+		"a part above that causes crashes under different parts is blocked": {
+			reports: [][]CrashReport{crashed(1, 0, []uint64{subject, 11}), crashed(2, 500, []uint64{subject, 12}),
+				crashed(3, 1200, []uint64{subject, 13})},
+			want: []uint64{subject},
+		},
+		"two causes with crashes of their own": {
+			reports: [][]CrashReport{crashed(1, 0, deadlyPrompt), crashed(2, 500, deadlyPrompt), crashed(3, 1200, deadlyPrompt),
+				crashed(4, 100, bystanderPrompt), crashed(5, 600, bystanderPrompt), crashed(6, 1300, bystanderPrompt)},
+			want: []uint64{deadly, bystander},
+		},
+		"parts in either order do not protect each other": {
+			reports: [][]CrashReport{crashed(1, 0, []uint64{21, 22}), crashed(2, 500, []uint64{22, 21}), crashed(3, 1200, []uint64{21, 22}),
+				crashed(4, 1300, []uint64{21, 22}), crashed(5, 1400, []uint64{21, 22})},
+			want: []uint64{21, 22},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				e := NewEvidence()
+				var steps []func()
+				for _, list := range tt.reports {
+					steps = append(steps, func() { e.AddReports(list, now) })
+				}
+				for _, list := range tt.acquittals {
+					steps = append(steps, func() { e.AddAcquittals(list, now) })
+				}
+				rand.New(rand.NewPCG(seed, 1)).Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
+				for _, step := range steps {
+					step()
+				}
+				if got := e.Blocked(); !slices.Equal(got, tt.want) {
+					t.Fatalf("order %d: blocked %v, want %v", seed, got, tt.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that was on the servers of others' crashes staying blocked after the cause is known.
+func TestBystanderIsFreedOnceTheCauseIsKnown(t *testing.T) {
+	e := NewEvidence()
+	request := uint64(77)
+	add := func(server int, at timer.Millis) {
+		list := append(crashed(server, at, []uint64{common, deadly}), CrashReport{Server: fmt.Sprint("s", server), Incarnation: 1,
+			Request: request, Parts: []uint64{common}, Age: now - at})
+		e.AddReports(list, now)
+	}
+	add(1, 0)
+	add(2, 600)
+	if !e.IsBlocked(request, nil) {
+		t.Fatal("a request that was on two crashed servers is not blocked")
+	}
+	add(3, 1200)
+	if e.IsBlocked(request, []uint64{common}) || !e.IsBlocked(0, []uint64{common, deadly}) {
+		t.Fatalf("blocked %v, want the deadly part only", e.Blocked())
+	}
+}
+
+// Guards against blocking for ever: a crash counts for a while only.
+func TestCrashesCountOnlyForAWhile(t *testing.T) {
+	e := NewEvidence()
+	report := func(server int, at timer.Millis) {
+		e.AddReports([]CrashReport{{Server: fmt.Sprint("s", server), Incarnation: 1, Request: 7}}, at)
+		e.Expire(at)
+	}
+	if report(1, 1000); e.IsBlocked(7, nil) {
+		t.Fatal("one crash blocks the request")
+	}
+	if report(2, 1000+evidenceLifetime+1); e.IsBlocked(7, nil) {
+		t.Fatal("two crashes far apart block the request")
+	}
+	if report(3, 2000+evidenceLifetime); !e.IsBlocked(7, nil) {
+		t.Fatal("two crashes do not block the request")
+	}
+	if e.Expire(3000 + 2*evidenceLifetime); e.IsBlocked(7, nil) || e.HasReports() {
+		t.Fatal("the request is blocked for longer than a crash counts")
+	}
+}
+
+// An answer acquits the request and its parts of the crashes before it, on all instances, and not of those after it.
+func TestAcquit(t *testing.T) {
+	e := NewEvidence()
+	e.AddReports(crashed(1, now-2000, []uint64{common, subject}), now)
+	added := e.Acquit(1000, []uint64{common}, now)
+	if len(added) != 2 {
+		t.Fatalf("%d acquittals, want one of the request and one of the part", len(added))
+	}
+	if again := e.Acquit(1000, []uint64{common}, now); len(again) != 0 {
+		t.Fatalf("the same answer acquits again: %v", again)
+	}
+	other := NewEvidence()
+	other.AddAcquittals(added, now)
+	for server := 1; server <= 4; server++ {
+		other.AddReports(crashed(server, now-2000+timer.Millis(500*server), []uint64{common}), now)
+	}
+	if got := other.Blocked(); !slices.Equal(got, []uint64{common}) {
+		t.Fatalf("blocked %v: three crashes after the answer must count", got)
+	}
+}
+
+// Guards against growth without bound under a flood of reports.
+func TestEvidenceIsBounded(t *testing.T) {
+	e := NewEvidence()
+	var list []CrashReport
+	for i := range uint64(maxReports + 100) {
+		list = append(list, CrashReport{Server: "s", Incarnation: 1, Request: i})
+	}
+	e.AddReports(list, now)
+	reports, _ := e.Snapshot(now)
+	if len(reports) != maxReports {
+		t.Fatalf("%d reports kept, want %d", len(reports), maxReports)
+	}
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
@@ -89,7 +90,8 @@
 	memberSeenAt  map[replicator.ID]timer.Millis
 	// identityByAddress is the identity in the latest greeting from each address.
 	identityByAddress map[string]replicator.ID
-	crashingRequests  map[uint64]bool
+	// evidence is what all instances have reported on requests that crash backend servers.
+	evidence *quarantiner.Evidence
 	// pendingPrefillByEntry is the latest report of pending prefill from each entry instance.
 	pendingPrefillByEntry map[*messenger.Link][]messenger.PendingPrefill
 	// nonEmptyPrefillSent is true for an entry instance if the last message to it about others' pending prefill was not
@@ -121,7 +123,7 @@
 		notServingSince:  map[string]timer.Millis{},
 		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), pendingMembers: map[string]registrar.Member{}, outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
-		crashingRequests: map[uint64]bool{}, pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
+		evidence: quarantiner.NewEvidence(), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
 		rosterSaves: make(chan SavedRoster),
 	}
@@ -216,6 +218,7 @@
 		case <-tick:
 			s.expireServers()
 			s.alarms.expire(s.deps.Telemetry.Clock.Now())
+			s.evidence.Expire(s.deps.Telemetry.Clock.Now())
 			s.queueRosterSave(s.deps.Telemetry.Clock.Now())
 			s.maintainConnections()
 			s.settleRollOuts()
@@ -296,7 +299,7 @@
 	if len(p.ServerAlarms) > 0 {
 		s.addAlarms(sender.Instance, p.ServerAlarms)
 	}
-	s.forwardCrashingRequests(p.CrashingRequests)
+	s.forwardEvidence(p)
 	s.forwardOldVersionSessions(p.OldVersionSessions)
 }
 
@@ -308,11 +311,16 @@
 	}
 }
 
-// forwardCrashingRequests sends each new digest of a crashing request to all instances once.
-func (s *Steward) forwardCrashingRequests(digests []uint64) {
-	if added := addNew(s.crashingRequests, digests); len(added) > 0 {
-		s.deps.Telemetry.Log.Warn("requests crash backend servers", "digests", added)
-		s.sendToAll(messenger.Packet{CrashingRequests: added})
+// forwardEvidence sends crash reports and acquittals that are new here to all instances, once.
+func (s *Steward) forwardEvidence(p messenger.Packet) {
+	now := s.deps.Telemetry.Clock.Now()
+	before := s.evidence.Blocked()
+	added := messenger.Packet{CrashReports: s.evidence.AddReports(p.CrashReports, now), Acquittals: s.evidence.AddAcquittals(p.Acquittals, now)}
+	if len(added.CrashReports) > 0 || len(added.Acquittals) > 0 {
+		s.sendToAll(added)
+	}
+	if after := s.evidence.Blocked(); !slices.Equal(before, after) {
+		s.deps.Telemetry.Log.Warn("requests and prompt parts that crash backend servers", "blocked", after)
 	}
 }
 
@@ -329,7 +337,8 @@
 	}
 	s.deps.Telemetry.Log.Info("instance reached", "instance", peer.Instance, "data-centre", peer.DataCentre)
 	p := messenger.Packet{ControlAddresses: s.controlAddresses(), RollOuts: s.rollOutsWithAge(),
-		CrashingRequests: sortedKeys(s.crashingRequests), OldVersionSessions: sortedKeys(s.oldVersionSessions)}
+		OldVersionSessions: sortedKeys(s.oldVersionSessions)}
+	p.CrashReports, p.Acquittals = s.evidence.Snapshot(s.deps.Telemetry.Clock.Now())
 	if peer.Address != "" || s.isRelayFor(peer.DataCentre) {
 		p.Members = s.roster.Members()
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -37,8 +38,6 @@
 	Policy   *matcher.Policy
 	Members  []registrar.Member
 	RollOuts []RollOut
-	// CrashingRequests holds the digests of requests that crash backend servers.
-	CrashingRequests map[uint64]bool
 }
 
 // RollOut is a roll-out with its start time on this instance's clock, in milliseconds.
@@ -68,6 +67,9 @@
 	AddOldVersionSessions func([]uint64)
 	// SuspendServers receives the alarms of other instances about backend servers.
 	SuspendServers func([]messenger.ServerAlarm)
+	// AddCrashReports and AddAcquittals receive the evidence of other instances on requests that crash backend servers.
+	AddCrashReports func([]quarantiner.CrashReport) []quarantiner.CrashReport
+	AddAcquittals   func([]quarantiner.Acquittal)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -106,7 +108,7 @@
 		deps: deps, events: make(chan func(), maxQueuedEvents), prefillReportRequests: make(chan struct{}, 1),
 		alarms: make(chan messenger.ServerAlarm, maxQueuedAlarms),
 		links:  map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
-		roster: registrar.NewRoster(), view: View{CrashingRequests: map[uint64]bool{}},
+		roster:     registrar.NewRoster(),
 		standstill: newStandstill(deps.Telemetry.Clock),
 	}
 	s.dialer = messenger.NewDialer(messenger.LinkHandler{
@@ -139,13 +141,14 @@
 	})
 }
 
-// ReportCrashingRequest reports the digest of a request that crashes backend servers to the fleet.
-func (s *Subscriber) ReportCrashingRequest(digest uint64) {
-	s.enqueue(func() {
-		s.addCrashingRequests([]uint64{digest})
-		s.broadcast(messenger.Packet{CrashingRequests: []uint64{digest}})
-		s.publishView()
-	})
+// ReportCrashes reports requests whose backend servers went down to the fleet.
+func (s *Subscriber) ReportCrashes(list []quarantiner.CrashReport) {
+	s.enqueue(func() { s.broadcast(messenger.Packet{CrashReports: list}) })
+}
+
+// ReportAcquittals reports to the fleet that backend servers have answered requests that were suspected to crash them.
+func (s *Subscriber) ReportAcquittals(list []quarantiner.Acquittal) {
+	s.enqueue(func() { s.broadcast(messenger.Packet{Acquittals: list}) })
 }
 
 // SendPrefillNow triggers a report on pending prefill at once, because a long prompt was sent to a server; it never
@@ -293,17 +296,11 @@
 	if len(p.ServerAlarms) > 0 {
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
-	s.addCrashingRequests(p.CrashingRequests)
-}
-
-func (s *Subscriber) addCrashingRequests(digests []uint64) {
-	for _, d := range digests {
-		if s.view.CrashingRequests[d] {
-			continue
-		}
-		s.view.CrashingRequests = maps.Clone(s.view.CrashingRequests)
-		s.view.CrashingRequests[d] = true
-		s.viewChanged = true
+	if len(p.Acquittals) > 0 {
+		s.deps.AddAcquittals(p.Acquittals)
+	}
+	if len(p.CrashReports) > 0 {
+		s.deps.AddCrashReports(p.CrashReports)
 	}
 }
 
