End requests of callers that left during a standstill

Cause: before each send, a request asks whether the process stood still. If its caller had left meanwhile, it could not wait for the answer, was placed again and asked again, in a loop without a pause.

Change: an attempt that is out of date ends if its context has ended.

--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -178,6 +178,12 @@
 
 // serve sends one request and returns the response; brokenOff is true if the connection was closed before its end.
 func (e *testEnv) serve(req Request) (rec *httptest.ResponseRecorder, brokenOff bool) {
+	e.t.Helper()
+	return e.serveContext(context.Background(), req)
+}
+
+// serveContext does the same with the context of the caller's connection.
+func (e *testEnv) serveContext(ctx context.Context, req Request) (rec *httptest.ResponseRecorder, brokenOff bool) {
 	e.t.Helper()
 	req.Method, req.Host, req.Target, req.Path = http.MethodPost, "h", "/x?q=1", "/x"
 	if req.ID == "" {
@@ -190,7 +196,7 @@
 			brokenOff = true
 		}
 	}()
-	e.f.Serve(context.Background(), &req, rec)
+	e.f.Serve(ctx, &req, rec)
 	return rec, false
 }
 
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -130,6 +130,9 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	switch o {
 	case attemptOutdated:
+		if ctx.Err() != nil {
+			return t.timeoutRefusal()
+		}
 		clear(t.tried)
 		return nil
 	case attemptNotRun:
