--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -38,6 +38,10 @@
 	NotRun bool
 	// Running, Waiting and Slots are the server's load; Slots is 0 if it is not given.
 	Running, Waiting, Slots int
+	// HasRateLimit is true if the server limits the requests that it takes from all instances together; RateLimit is their
+	// number per second.
+	HasRateLimit bool
+	RateLimit    float64
 	// Confidence is the model's confidence in the response, from 0 to 100; -1 if it is not given.
 	Confidence int
 	// KeepAliveTimeout is the server's keep-alive timeout, in milliseconds; 0 if it is not given.
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -63,7 +63,10 @@
 	consecutiveFailures int
 	suspendedUntil      timer.Millis
 	failureRate         float64
-	outcomeSamples      int
+	// rateLimit is the limit that the server last named, in requests per second; hasRateLimit is false if it named none.
+	rateLimit      float64
+	hasRateLimit   bool
+	outcomeSamples int
 	// relativeFirstByte is the average time to the first byte relative to the route's average; 1 is as usual.
 	relativeFirstByte movingAverage
 }
@@ -102,6 +105,17 @@
 	s.reportedAt = now
 }
 
+// updateRateLimit stores the limit that a response names and reports whether it has changed.
+func (s *server) updateRateLimit(info exchanger.Info) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hasRateLimit == info.HasRateLimit && s.rateLimit == info.RateLimit {
+		return false
+	}
+	s.hasRateLimit, s.rateLimit = info.HasRateLimit, info.RateLimit
+	return true
+}
+
 // recordSuccess counts a good response and ends a suspension.
 func (s *server) recordSuccess() {
 	s.mu.Lock()
