--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -103,6 +103,9 @@
 			if c, err := strconv.Atoi(res.Header.Get("Confidence")); err == nil {
 				info.Confidence = c
 			}
+			if limit, err := strconv.ParseFloat(res.Header.Get("Limit"), 64); err == nil {
+				info.HasRateLimit, info.RateLimit = true, limit
+			}
 			return info
 		},
 	}
