Keep the request limit that a backend server names, over all instances

Servers in need got up to four times the requests a second that they had named as their limit, as long as they named it.

Cause: nothing read the limit, and nothing in the choice of a server bounds a rate that all instances share. The class of fault: a promise about the whole fleet that no instance can keep alone. Load is spread unevenly (one instance had 29 of 40 sends to one server), so equal parts would waste most of the limit.

Change: package rationer. Each instance counts the requests for which a server is the first choice and reports that demand while the server is limited; control instances pass on what the others want. An instance then sends the limit divided by the demand of all, as a part of its own demand, so the sum keeps the limit however the demand is spread, without a question before a send. What is declined goes to the next best server, or waits as for a free slot. An escalation takes its place before it gives up the answer in hand, and a prompt does not move to a server that has no place. The end of a limit, and the limit itself, reach instances without answers of their own, and those that start later.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -48,7 +48,7 @@
 	}
 	t.tried = map[string]bool{}
 	now := t.f.deps.Telemetry.Clock.Now()
-	best := t.cheapestServer(t.candidates(now), now, false)
+	best := t.admittedServer(t.candidates(now), now, false)
 	var estimate escalationEstimate
 	if best != nil {
 		estimate = escalationEstimate{
@@ -56,8 +56,10 @@
 			slotShare: float64(best.load(now)) / float64(max(1, best.Slots)),
 		}
 		if t.isWorthEscalating(estimate, confidence, now) {
+			t.reserved = best
 			return true
 		}
+		best.ration.Refund()
 	}
 	t.model, t.tried = current, tried
 	t.logSkippedEscalation(x, "the delay at the larger model outweighs the low confidence", estimate)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -126,10 +126,7 @@
 		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
 	}
 	s.updateLoad(res.Info, now)
-	if s.updateRateLimit(res.Info) {
-		t.f.deps.Telemetry.Log.Info("backend server changes its request limit", "server", s.Name, "limited", res.Info.HasRateLimit,
-			"per-second", res.Info.RateLimit, "request", t.ID, "attempt", t.attempts)
-	}
+	t.recordRateLimit(s, res.Info, now)
 	t.confidence = res.Info.Confidence
 	if res.Info.NotRun {
 		return x, attemptNotRun
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -161,6 +161,11 @@
 	// deadline is the earlier of the caller's and the route's time limit, in milliseconds.
 	deadline timer.Millis
 	tried    map[string]bool
+	// declined are the servers that had no place for the request within their request limit, the last one at declinedAt.
+	declined   map[string]bool
+	declinedAt timer.Millis
+	// reserved is the server that has admitted the next attempt already.
+	reserved *server
 	// attempts counts the servers that got the request, and failedDials those that accepted no connection.
 	attempts, failedDials int
 	// mayHaveRun is true if some backend server may have run the request.
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -49,6 +49,7 @@
 		if s != nil {
 			t.tried[s.Name] = true
 			t.lastServer = s
+			clear(t.declined)
 			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
 			return s, nil
 		}
@@ -59,6 +60,7 @@
 			return nil, t.timeoutRefusal()
 		}
 		t.view = t.f.fleetView.Load()
+		t.forgetDeclined(t.f.deps.Telemetry.Clock.Now())
 		if len(t.tried) > 0 {
 			// Servers that were full earlier may have a free slot now.
 			clear(t.tried)
@@ -81,14 +83,18 @@
 
 // pickServer returns the cheapest server with a free slot, or the reason why there is none.
 func (t *task) pickServer(now timer.Millis) (*server, string) {
+	if s := t.reserved; s != nil {
+		t.reserved = nil
+		return s, ""
+	}
 	list := t.candidates(now)
 	if len(list) == 0 {
 		return nil, "no backend server of the service is known"
 	}
-	best := t.cheapestServer(list, now, false)
+	best := t.admittedServer(list, now, false)
 	if best == nil {
 		// If all others are suspended or full, a suspended server is better than none.
-		best = t.cheapestServer(list, now, true)
+		best = t.admittedServer(list, now, true)
 	}
 	if best == nil {
 		return nil, "no backend server has room"
@@ -104,7 +110,7 @@
 	ranks := t.cacheRanks(list)
 	for i, s := range list {
 		suspended, slowness := s.availability(now)
-		if suspended != suspendedOnly || t.tried[s.Name] {
+		if suspended != suspendedOnly || t.tried[s.Name] || t.declined[s.Name] {
 			continue
 		}
 		slots := max(1, s.Slots)
--- a/internal/forwarder/rate_limit_test.go
+++ b/internal/forwarder/rate_limit_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // limitedReply answers a request and names a limit of requests per second.
@@ -37,3 +39,51 @@
 		t.Fatalf("the server got %d of %d requests, its limit allows %d in 4 s", n, requests, int(maxSent))
 	}
 }
+
+// Guards against an instance that waits for its own answer from a server before it spares it.
+func TestLimitHeardFromOtherInstancesHolds(t *testing.T) {
+	near, far := &fakeServer{respond: replyDone}, &fakeServer{respond: replyDone}
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"near": near, "far": far})
+	env.f.serversByName["far"].DataCentre = "b"
+	env.f.SetOthersRates([]rationer.Report{{Server: "near", Incarnation: 1, Limited: true, Limit: 1, DemandUnits: 1_000_000}})
+	for i := range 20 {
+		if rec, _ := env.serve(Request{ID: fmt.Sprint("r", i)}); rec.Code != http.StatusOK {
+			t.Fatalf("request %d: got %d", i, rec.Code)
+		}
+	}
+	if n := len(near.requests()); n > 1 {
+		t.Fatalf("the limited server got %d of 20 requests, want at most one", n)
+	}
+	reports := env.f.RateReports()
+	if len(reports) != 1 || reports[0].DemandUnits < 1000 {
+		t.Fatalf("reported %+v, want the demand of 20 requests within a second for one server", reports)
+	}
+	// The report on another incarnation of the server ends nothing and limits nothing.
+	env.f.SetOthersRates([]rationer.Report{{Server: "near", Incarnation: 2, Limited: false}})
+	if got := env.f.RateReports(); len(got) != 1 || !got[0].Limited {
+		t.Fatalf("a report on another incarnation changed the limit: %+v", got)
+	}
+}
+
+// All servers are limited: the excess is refused, with the time after which to come back, and nothing waits for its deadline.
+func TestRequestsBeyondAllLimitsAreRefused(t *testing.T) {
+	const target = 400 * timer.Millisecond
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindAtMostOnce, TargetLatency: target, Timeout: 5 * timer.Second},
+		map[string]*fakeServer{"s1": {respond: limitedReply("1")}, "s2": {respond: limitedReply("1")}})
+	refused := 0
+	for i := range 8 {
+		start := env.f.deps.Telemetry.Clock.Now()
+		rec, broken := env.serve(Request{ID: fmt.Sprint("r", i)})
+		if took := env.f.deps.Telemetry.Clock.Now() - start; broken || took > 2*target {
+			t.Fatalf("request %d: broken off %t after %d ms", i, broken, took)
+		}
+		if rec.Code == http.StatusServiceUnavailable && rec.Header().Get("Retry-After") != "" {
+			refused++
+		} else if rec.Code != http.StatusOK {
+			t.Fatalf("request %d: got %d", i, rec.Code)
+		}
+	}
+	if refused == 0 {
+		t.Fatal("no request was refused")
+	}
+}
--- /dev/null
+++ b/internal/forwarder/rates.go
@@ -0,0 +1,76 @@
+package forwarder
+
+import (
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// rationRetryInterval is the time after which a waiting request asks again for a place at servers that limit their
+// requests.
+const rationRetryInterval = 250 * timer.Millisecond
+
+// recordRateLimit stores the limit that a response names.
+func (t *task) recordRateLimit(s *server, info exchanger.Info, now timer.Millis) {
+	if s.ration.Observe(info.RateLimit, info.HasRateLimit, now) {
+		t.f.deps.Telemetry.Log.Info("backend server changes its request limit", "server", s.Name, "limited", info.HasRateLimit,
+			"per-second", info.RateLimit, "request", t.ID, "attempt", t.attempts)
+	}
+}
+
+// admittedServer returns the cheapest server that takes the request within its request limit, nil if there is none.
+func (t *task) admittedServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
+	for {
+		s := t.cheapestServer(list, now, suspendedOnly)
+		if s == nil || s.ration.Admit(now) {
+			return s
+		}
+		t.f.deps.Telemetry.Counter("servers.over-limit").Inc(1)
+		if t.declined == nil {
+			t.declined = map[string]bool{}
+		}
+		t.declined[s.Name] = true
+		t.declinedAt = now
+	}
+}
+
+// forgetDeclined lets a waiting request ask again at servers that had no place within their request limit.
+func (t *task) forgetDeclined(now timer.Millis) {
+	if now-t.declinedAt >= rationRetryInterval {
+		clear(t.declined)
+	}
+}
+
+// RateReports returns what this instance knows of the servers that limit their requests.
+func (f *Forwarder) RateReports() []rationer.Report {
+	now := f.deps.Telemetry.Clock.Now()
+	var list []rationer.Report
+	for _, servers := range f.fleetView.Load().servers {
+		for _, s := range servers {
+			if r, ok := s.ration.Report(s.Name, s.Incarnation, now); ok {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// SetOthersRates stores what the other instances know of the servers that limit their requests.
+func (f *Forwarder) SetOthersRates(list []rationer.Report) {
+	now := f.deps.Telemetry.Clock.Now()
+	byName := map[string]rationer.Report{}
+	for _, r := range list {
+		byName[r.Server] = r
+	}
+	for _, servers := range f.fleetView.Load().servers {
+		for _, s := range servers {
+			r, ok := byName[s.Name]
+			if !ok || r.Incarnation != s.Incarnation {
+				s.ration.SetOthersDemand(0)
+				continue
+			}
+			s.ration.SetOthersDemand(r.DemandUnits)
+			s.ration.Observe(r.Limit, r.Limited, now-max(0, r.Age))
+		}
+	}
+}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -45,6 +46,7 @@
 
 	inFlight     atomic.Int64
 	prefillQueue prefillQueue
+	ration       *rationer.Ration
 	// lastByte is the time of the last read from the server, in milliseconds.
 	lastByte atomic.Int64
 	// alarmedAt is the time of the last alarm about the server that this instance reported, in milliseconds.
@@ -63,17 +65,14 @@
 	consecutiveFailures int
 	suspendedUntil      timer.Millis
 	failureRate         float64
-	// rateLimit is the limit that the server last named, in requests per second; hasRateLimit is false if it named none.
-	rateLimit      float64
-	hasRateLimit   bool
-	outcomeSamples int
+	outcomeSamples      int
 	// relativeFirstByte is the average time to the first byte relative to the route's average; 1 is as usual.
 	relativeFirstByte movingAverage
 }
 
 func newServer(m registrar.Member, deps exchanger.Deps) *server {
 	return &server{Member: m, serverState: &serverState{nameHash: xxhash.Sum64String(m.Name),
-		pool: exchanger.NewPool(deps, m.Address)}}
+		pool: exchanger.NewPool(deps, m.Address), ration: rationer.NewRation()}}
 }
 
 // withMember returns the server with a newer announcement and the same state.
@@ -105,17 +104,6 @@
 	s.reportedAt = now
 }
 
-// updateRateLimit stores the limit that a response names and reports whether it has changed.
-func (s *server) updateRateLimit(info exchanger.Info) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.hasRateLimit == info.HasRateLimit && s.rateLimit == info.RateLimit {
-		return false
-	}
-	s.hasRateLimit, s.rateLimit = info.HasRateLimit, info.RateLimit
-	return true
-}
-
 // recordSuccess counts a good response and ends a suspension.
 func (s *server) recordSuccess() {
 	s.mu.Lock()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	other := t.cheapestServer(t.candidates(now), now, false)
-	if other == nil || other.Name == s.Name {
+	if other == nil || other.Name == s.Name || other.ration.Pressure(now) >= 1 {
 		return false
 	}
 	queueWait := other.prefillQueue.waitFor(t.urgency(other), now)
--- a/internal/launcher/crashes_test.go
+++ b/internal/launcher/crashes_test.go
@@ -37,9 +37,7 @@
 	for i := range 3 {
 		server := newCrashingServer(&poisoned)
 		defer server.Close()
-		announcement := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","version":"v1","slots":4,"state":"ready","seq":1,"born":1}`,
-			server.Listener.Addr().String())
-		d.waitForStatus(http.StatusOK, http.MethodPut, fmt.Sprintf("http://%s/instances/i-%d", d.controlAddrs[i], i), announcement)
+		defer d.announce(fmt.Sprint("i-", i), server.Listener.Addr().String(), "a")()
 	}
 	d.waitForStatus(http.StatusOK, http.MethodGet, "http://"+d.callersAddr+"/a/sound", "")
 	if status, _ := call(http.MethodGet, "http://"+d.callersAddr+"/a/poison", ""); status != http.StatusBadGateway || poisoned.Load() != 2 {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -90,6 +90,7 @@
 		PendingPrefill: e.forwarder.PendingPrefill, SetOthersPrefill: e.forwarder.SetOthersPrefill,
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
 		SuspendServers: e.forwarder.SuspendServers, AddCrashReports: e.forwarder.AddCrashReports, AddAcquittals: e.forwarder.AddAcquittals,
+		RateReports: e.forwarder.RateReports, SetOthersRates: e.forwarder.SetOthersRates,
 	})
 	handler := platform.RequestHandler{
 		Telemetry: telemetry, Limits: e.forwarder.Limits, ClosesConnections: e.stopping.Load,
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,6 +104,36 @@
 	}
 }
 
+// announceInterval is the time between two announcements of a backend server.
+const announceInterval = 500 * time.Millisecond
+
+// announce announces a backend server of the service desk until stop is called.
+func (d *deployment) announce(name, address, dataCentre string) (stop func()) {
+	d.t.Helper()
+	put := func(seq int, wait func(url, body string)) {
+		wait(fmt.Sprintf("http://%s/instances/%s", d.controlAddrs[seq%len(d.controlAddrs)], name),
+			fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":100,"state":"ready","seq":%d,"born":1}`,
+				address, dataCentre, seq))
+	}
+	put(1, func(url, body string) { d.waitForStatus(http.StatusOK, http.MethodPut, url, body) })
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for seq := 2; ; seq++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(announceInterval):
+				put(seq, func(url, body string) { call(http.MethodPut, url, body) })
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
 // call sends a request and returns the status and body of the response; on failure, status 0 and the error text.
 func call(method, url, body string) (int, string) {
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -68,6 +69,10 @@
 	// such requests.
 	CrashReports []quarantiner.CrashReport `cbor:"21,keyasint,omitempty"`
 	Acquittals   []quarantiner.Acquittal   `cbor:"22,keyasint,omitempty"`
+	// RateReports are what an entry instance knows of servers that limit their requests, or, sent by a control instance, what
+	// the others know. HasRateReports is set when the packet reports either, even if the list is empty.
+	RateReports    []rationer.Report `cbor:"23,keyasint,omitempty"`
+	HasRateReports bool              `cbor:"24,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
@@ -92,6 +93,9 @@
 	identityByAddress map[string]replicator.ID
 	// evidence is what all instances have reported on requests that crash backend servers.
 	evidence *quarantiner.Evidence
+	// rates are the latest reports of the entry instances on servers that limit their requests.
+	rates     *rationer.Board[*messenger.Link]
+	rateTimer <-chan timer.Tick
 	// pendingPrefillByEntry is the latest report of pending prefill from each entry instance.
 	pendingPrefillByEntry map[*messenger.Link][]messenger.PendingPrefill
 	// nonEmptyPrefillSent is true for an entry instance if the last message to it about others' pending prefill was not
@@ -123,7 +127,7 @@
 		notServingSince:  map[string]timer.Millis{},
 		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), pendingMembers: map[string]registrar.Member{}, outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
-		evidence: quarantiner.NewEvidence(), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
+		evidence: quarantiner.NewEvidence(), rates: rationer.NewBoard[*messenger.Link](), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
 		rosterSaves: make(chan SavedRoster),
 	}
@@ -210,6 +214,9 @@
 		case <-s.prefillTimer:
 			s.prefillTimer = nil
 			s.sendOthersPrefill()
+		case <-s.rateTimer:
+			s.rateTimer = nil
+			s.sendOthersRates()
 		case <-s.memberTimer:
 			s.sendPendingMembers()
 		case <-s.alarmTimer:
@@ -299,6 +306,9 @@
 	if len(p.ServerAlarms) > 0 {
 		s.addAlarms(sender.Instance, p.ServerAlarms)
 	}
+	if p.HasRateReports {
+		s.addRateReports(conn, p.RateReports)
+	}
 	s.forwardEvidence(p)
 	s.forwardOldVersionSessions(p.OldVersionSessions)
 }
@@ -344,6 +354,7 @@
 	}
 	if peer.Address == "" {
 		p.OfferedPolicyVersion = s.policy.Version
+		p.RateReports, p.HasRateReports = s.rates.Totals(s.deps.Telemetry.Clock.Now()), true
 		if peer.DataCentre == s.deps.Self.DataCentre && s.policy.Version > 0 {
 			policy := s.policy
 			p.Policy = &policy
@@ -373,6 +384,7 @@
 func (s *Steward) handleClosed(conn *messenger.Link) {
 	peer := s.connections[conn]
 	delete(s.connections, conn)
+	s.rates.Remove(conn)
 	s.deps.Telemetry.Log.Info("instance lost", "instance", peer.Instance, "data-centre", peer.DataCentre)
 	if peer.Address == "" {
 		s.clearRunning(peer)
--- a/internal/subscriber/reports.go
+++ b/internal/subscriber/reports.go
@@ -17,6 +17,17 @@
 	}
 }
 
+// reportRates reports what is known of servers that limit their requests to all control instances. One empty report ends a
+// series; further empty ones are not sent.
+func (s *Subscriber) reportRates() {
+	list := s.deps.RateReports()
+	if len(list) == 0 && !s.hasReportedRates {
+		return
+	}
+	s.hasReportedRates = len(list) > 0
+	s.broadcast(messenger.Packet{RateReports: list, HasRateReports: true})
+}
+
 // isNear reports whether a data centre is in the own region.
 func (s *Subscriber) isNear(dataCentre string) bool {
 	own := s.deps.Self.DataCentre
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -70,6 +71,10 @@
 	// AddCrashReports and AddAcquittals receive the evidence of other instances on requests that crash backend servers.
 	AddCrashReports func([]quarantiner.CrashReport) []quarantiner.CrashReport
 	AddAcquittals   func([]quarantiner.Acquittal)
+	// RateReports returns what this instance knows of servers that limit their requests; SetOthersRates receives what the
+	// others know.
+	RateReports    func() []rationer.Report
+	SetOthersRates func([]rationer.Report)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -98,6 +103,8 @@
 	syncUntil  timer.Millis
 	// syncReplied means that the reply has arrived and its view is not published yet.
 	syncReplied bool
+	// hasReportedRates means that the last report on request limits was not empty.
+	hasReportedRates bool
 	// hasReportedPrefill means that the last report on waiting prefill was not empty.
 	hasReportedPrefill bool
 }
@@ -195,6 +202,7 @@
 			s.reportAlarms(a)
 		case <-prefillReportDue:
 			s.reportPendingPrefill()
+			s.reportRates()
 			prefillReportDue = s.deps.Telemetry.Clock.After(prefillReportInterval)
 		case <-outcomeReportDue:
 			if outcomes := s.deps.Outcomes(); len(outcomes) > 0 {
@@ -296,6 +304,9 @@
 	if len(p.ServerAlarms) > 0 {
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
+	if p.HasRateReports {
+		s.deps.SetOthersRates(p.RateReports)
+	}
 	if len(p.Acquittals) > 0 {
 		s.deps.AddAcquittals(p.Acquittals)
 	}
