--- a/internal/exchanger/events.go
+++ b/internal/exchanger/events.go
@@ -124,6 +124,11 @@
 	return false
 }
 
+// CountEvents returns the number of complete events.
+func CountEvents(events []byte) int {
+	return bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
+}
+
 // LastEventID returns the id of the last event that has one, or an empty string.
 func LastEventID(events []byte) string {
 	prefix := []byte("id:")
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -39,6 +39,9 @@
 	sentAt timer.Millis
 	// firstEventAt is when the first event of a stream arrived; 0 before that.
 	firstEventAt timer.Millis
+	// lastEventAt is when the last event of a stream arrived, and events the number of events so far.
+	lastEventAt timer.Millis
+	events      int
 	// survived is true once the answer has gone on for survivalTime.
 	survived bool
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
@@ -51,6 +54,17 @@
 	err           error
 }
 
+// pace returns the mean time between the events of a stream, in milliseconds, and false if it has fewer than minPaceEvents.
+func (x *exchange) pace() (float64, bool) {
+	if x.events < minPaceEvents {
+		return 0, false
+	}
+	return float64(x.lastEventAt-x.firstEventAt) / float64(x.events-1), true
+}
+
+// minPaceEvents is the number of events from which their pace is known.
+const minPaceEvents = 3
+
 // progress tells in logs how much of a response has arrived.
 func (x *exchange) progress() string {
 	switch {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -186,6 +186,9 @@
 	// cachedPrefixKey is the result of prefixKey for cachedPrefixModel; 0 until it is computed.
 	cachedPrefixKey   uint64
 	cachedPrefixModel string
+	// pace is the mean time between the events of the last attempt, in milliseconds.
+	pace    float64
+	hasPace bool
 	// requestDigest and partDigests are valid once hasDigests is true.
 	requestDigest uint64
 	partDigests   []uint64
@@ -336,6 +339,9 @@
 	if t.writer.headSentAt > 0 {
 		args = append(args, "first-ms", int64(t.writer.headSentAt-t.ArrivedAt))
 	}
+	if t.hasPace {
+		args = append(args, "pace-ms", t.pace)
+	}
 	if reason != "" {
 		args = append(args, "reason", reason, "ran", t.mayHaveRun)
 	}
