Roll back versions that are slow without failing

A version whose answers took two to four times as long was rolled out and kept, or had up to twice the allowed exposure: callers of all routes got it. With a plain service even eight times as long passed, on every deployment.

Cause: an answer counted as slow only if its first byte took four times the usual time and 400 ms more. The first byte depends on what a server has cached; the usual time was an average over both versions; the answers of plain services take tens of milliseconds and never reached the margin. The class of fault: a symptom measured where it is mixed with others, against an absolute margin.

Change: the pace of an answer is the lower quartile of the gaps between its events, which prompts of others hardly disturb (old version 20 to 27 ms, twice as slow half of the time: 30 to 31, three times: 40 to 42), or the time of a plain answer at a server that is at most half busy. It is slow above the 90th percentile, and a quarter above the median, of the previous versions' answers of the last seconds. A second sequential test compares the rates of slow answers of both versions; slow answers must be spread over the servers of the target, since single slow servers say nothing about their version, and servers that still warm up do not count.

The tests have not been seen failing on the old code: they use counts that it lacks.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -39,9 +39,12 @@
 	sentAt timer.Millis
 	// firstEventAt is when the first event of a stream arrived; 0 before that.
 	firstEventAt timer.Millis
-	// lastEventAt is when the last event of a stream arrived, and events the number of events so far.
-	lastEventAt timer.Millis
-	events      int
+	// lastEventAt is when the last event of a stream arrived; gaps are the first gaps between its events, in milliseconds.
+	lastEventAt  timer.Millis
+	gaps         []float64
+	paceRecorded bool
+	// loadAtSend is the number of requests at the server when the request was sent.
+	loadAtSend int
 	// survived is true once the answer has gone on for survivalTime.
 	survived bool
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
@@ -54,17 +57,6 @@
 	err           error
 }
 
-// pace returns the mean time between the events of a stream, in milliseconds, and false if it has fewer than minPaceEvents.
-func (x *exchange) pace() (float64, bool) {
-	if x.events < minPaceEvents {
-		return 0, false
-	}
-	return float64(x.lastEventAt-x.firstEventAt) / float64(x.events-1), true
-}
-
-// minPaceEvents is the number of events from which their pace is known.
-const minPaceEvents = 3
-
 // progress tells in logs how much of a response has arrived.
 func (x *exchange) progress() string {
 	switch {
@@ -125,6 +117,7 @@
 	req := exchanger.Request{ID: t.ID, Method: t.Method, Target: t.Target, Host: t.Host, Body: t.Body,
 		Header: t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))}
 	x.sentAt = t.f.deps.Telemetry.Clock.Now()
+	x.loadAtSend = s.load(x.sentAt)
 	if err := c.Write(req); err != nil {
 		return t.abortAttempt(x, err)
 	}
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -56,7 +56,9 @@
 		if old != nil {
 			old.pool.SetClosed(true)
 		}
-		return newServer(m, f.exchange)
+		s := newServer(m, f.exchange)
+		s.warmUntil = f.deps.Telemetry.Clock.Now() + m.WarmUp
+		return s
 	}
 	if old.State == m.State && old.Version == m.Version && old.Slots == m.Slots && old.Service == m.Service {
 		return old
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,8 +69,10 @@
 	sessions          *sessions
 	versionOutcomes   *versionOutcomes
 	firstByteAverages sync.Map
-	evidence          *quarantiner.Evidence
-	prefillEstimator  *prefillEstimator
+	// paces holds the paceWindow of each paceKey.
+	paces            sync.Map
+	evidence         *quarantiner.Evidence
+	prefillEstimator *prefillEstimator
 	// policyReady is closed when the first policy arrives.
 	policyReady        chan struct{}
 	prefixTracker      *prefixTracker
@@ -129,6 +131,7 @@
 // resetRouteStats drops the statistics of routes, which a new policy may have changed.
 func (f *Forwarder) resetRouteStats() {
 	f.firstByteAverages.Clear()
+	f.paces.Clear()
 }
 
 // Ready reports whether requests can be served.
@@ -186,9 +189,8 @@
 	// cachedPrefixKey is the result of prefixKey for cachedPrefixModel; 0 until it is computed.
 	cachedPrefixKey   uint64
 	cachedPrefixModel string
-	// pace is the mean time between the events of the last attempt, in milliseconds.
-	pace    float64
-	hasPace bool
+	// pace is the lower quartile of the gaps between the events of the last attempt, in milliseconds; 0 if it is not known.
+	pace float64
 	// requestDigest and partDigests are valid once hasDigests is true.
 	requestDigest uint64
 	partDigests   []uint64
@@ -339,7 +341,7 @@
 	if t.writer.headSentAt > 0 {
 		args = append(args, "first-ms", int64(t.writer.headSentAt-t.ArrivedAt))
 	}
-	if t.hasPace {
+	if t.pace > 0 {
 		args = append(args, "pace-ms", t.pace)
 	}
 	if reason != "" {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -77,6 +77,7 @@
 	x.server.recordSuccess()
 	if x.res.StatusCode < http.StatusMultipleChoices {
 		t.recordSurvival()
+		t.recordPlainPace(x, took)
 	}
 	t.f.recordFirstByte(t, x, took)
 	t.writeWholeResponse(x, body.Bytes, now)
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -51,6 +51,10 @@
 	lastByte atomic.Int64
 	// alarmedAt is the time of the last alarm about the server that this instance reported, in milliseconds.
 	alarmedAt atomic.Int64
+	// onPace and offPace count the answers at the usual pace and the slow ones during roll-outs.
+	onPace, offPace atomic.Int64
+	// warmUntil is when the server has warmed up after its start, in milliseconds.
+	warmUntil timer.Millis
 	// incidentAt is the start of the last incident of broken connections, in milliseconds.
 	incidentAt atomic.Int64
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -118,11 +118,11 @@
 	}
 	err := t.relayEvents(x)
 	now := t.f.deps.Telemetry.Clock.Now()
-	t.pace, t.hasPace = x.pace()
 	if err == nil {
 		x.release(true)
 		x.server.recordSuccess()
 		t.recordSurvival()
+		t.recordStreamPace(x)
 		t.f.recordOutcome(t, x.server, gradeGood)
 		return true, nil
 	}
@@ -163,7 +163,7 @@
 			x.firstEventAt = now
 			t.f.recordFirstByte(t, x, now-x.sentAt)
 		}
-		x.lastEventAt, x.events = now, x.events+exchanger.CountEvents(events)
+		t.recordGaps(x, exchanger.CountEvents(events), now)
 		if !x.survived && now-x.firstEventAt >= survivalTime {
 			x.survived = true
 			t.recordSurvival()
--- a/internal/forwarder/version_outcomes.go
+++ b/internal/forwarder/version_outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
@@ -35,6 +36,20 @@
 
 // recordOutcome counts a response if its service has a roll-out.
 func (f *Forwarder) recordOutcome(t *task, s *server, g grade) {
+	f.updateOutcomes(t, s, func(o *messenger.Outcomes) {
+		switch g {
+		case gradeGood:
+			o.Good++
+		case gradeBad:
+			o.Bad++
+		case gradeSlow:
+			o.Slow++
+		}
+	})
+}
+
+// updateOutcomes updates the counts of a server's version if its service has a roll-out.
+func (f *Forwarder) updateOutcomes(t *task, s *server, update func(*messenger.Outcomes)) {
 	rollOut, ok := f.fleetView.Load().rollOuts[s.Service]
 	if !ok {
 		return
@@ -46,14 +61,7 @@
 	if o.Target != rollOut.TargetVersion {
 		o = messenger.Outcomes{Service: s.Service, Version: s.Version, Target: rollOut.TargetVersion, Route: t.route.Name}
 	}
-	switch g {
-	case gradeGood:
-		o.Good++
-	case gradeBad:
-		o.Bad++
-	case gradeSlow:
-		o.Slow++
-	}
+	update(&o)
 	f.versionOutcomes.counts[key] = o
 }
 
@@ -100,13 +108,17 @@
 				list = append(list, o)
 			}
 		}
-		inFlight := map[string]int{}
+		rows := map[string]messenger.Outcomes{}
 		for _, s := range view.servers[service] {
-			inFlight[s.Version] += int(s.inFlight.Load())
-		}
-		for version, n := range inFlight {
-			list = append(list, messenger.Outcomes{Service: service, Version: version, Target: v.rollOut.TargetVersion, InFlight: n})
+			row, ok := rows[s.Version]
+			if !ok {
+				row = messenger.Outcomes{Service: service, Version: s.Version, Target: v.rollOut.TargetVersion, PaceByServer: messenger.PaceByServer{}}
+			}
+			row.InFlight += int(s.inFlight.Load())
+			row.PaceByServer.Add(s.nameHash, messenger.PaceCount{On: int(s.onPace.Load()), Off: int(s.offPace.Load())})
+			rows[s.Version] = row
 		}
+		list = slices.AppendSeq(list, maps.Values(rows))
 	}
 	return list
 }
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -33,6 +33,58 @@
 	Slow     int    `cbor:"6,keyasint"`
 	InFlight int    `cbor:"7,keyasint"`
 	Route    string `cbor:"8,keyasint,omitempty"`
+	// OnPace and OffPace count the answers that took as long as usual on the versions before, and the slow ones.
+	OnPace  int `cbor:"9,keyasint,omitempty"`
+	OffPace int `cbor:"10,keyasint,omitempty"`
+	// PaceByServer counts the same answers by server, in a row without a route.
+	PaceByServer PaceByServer `cbor:"11,keyasint,omitempty"`
+}
+
+// paceGroups is the number of groups that the servers of a version are divided into by their name.
+const paceGroups = 64
+
+// PaceByServer counts the answers at the usual pace and the slow ones of each group of servers, without empty groups.
+type PaceByServer map[uint8]PaceCount
+
+// PaceCount is a number of answers at the usual pace, and of slow ones.
+type PaceCount struct {
+	On  int `cbor:"1,keyasint,omitempty"`
+	Off int `cbor:"2,keyasint,omitempty"`
+}
+
+// Add adds the answers of the server whose name has the given hash.
+func (p PaceByServer) Add(nameHash uint64, c PaceCount) {
+	if c.On+c.Off > 0 {
+		p.addGroup(uint8(nameHash%paceGroups), c)
+	}
+}
+
+// Merge adds all answers of another count.
+func (p PaceByServer) Merge(other PaceByServer) {
+	for group, c := range other {
+		p.addGroup(group, c)
+	}
+}
+
+func (p PaceByServer) addGroup(group uint8, c PaceCount) {
+	sum := p[group]
+	p[group] = PaceCount{On: sum.On + c.On, Off: sum.Off + c.Off}
+}
+
+// IsSpread reports whether most groups have their share of the slow answers. Otherwise, single servers are slow.
+func (p PaceByServer) IsSpread() bool {
+	var total PaceCount
+	for _, c := range p {
+		total = PaceCount{On: total.On + c.On, Off: total.Off + c.Off}
+	}
+	spread := 0
+	for _, c := range p {
+		// The share of the group is at least half of the share of all.
+		if 2*c.Off*(total.On+total.Off) >= total.Off*(c.On+c.Off) {
+			spread++
+		}
+	}
+	return 2*spread > len(p)
 }
 
 // Packet is one message on a link between two instances; only fields with new information are set.
--- a/internal/steward/rollout_judge.go
+++ b/internal/steward/rollout_judge.go
@@ -48,9 +48,20 @@
 	return answerCounts{good: max(0, c.good-earlier.good), bad: max(0, c.bad-earlier.bad)}
 }
 
-// rollOutJudge compares the target version of one roll-out with the previous version by Wald's sequential probability
-// ratio test, interval by interval.
+// withPaces adds the counts of one entry instance by the pace of the answers; slow ones count as bad.
+func (c answerCounts) withPaces(o messenger.Outcomes) answerCounts {
+	return answerCounts{good: c.good + o.OnPace, bad: c.bad + o.OffPace}
+}
+
+// rollOutJudge compares the target version of one roll-out with the previous version: by answers that fail, and by answers
+// that are slow.
 type rollOutJudge struct {
+	failures, pace versionComparison
+}
+
+// versionComparison compares two versions route by route with Wald's sequential probability ratio test, interval by
+// interval.
+type versionComparison struct {
 	routes map[string]*routeComparison
 }
 
@@ -68,12 +79,12 @@
 }
 
 func newRollOutJudge() *rollOutJudge {
-	return &rollOutJudge{routes: map[string]*routeComparison{}}
+	return &rollOutJudge{failures: versionComparison{map[string]*routeComparison{}}, pace: versionComparison{map[string]*routeComparison{}}}
 }
 
 // isWorse reports whether the target version is clearly worse on a route than the previous one; it gets the sums of all
 // answers since the start of the roll-out.
-func (j *rollOutJudge) isWorse(route string, target, previous answerCounts, elapsed timer.Millis) bool {
+func (j versionComparison) isWorse(route string, target, previous answerCounts, elapsed timer.Millis) bool {
 	r := j.routes[route]
 	if r == nil {
 		r = &routeComparison{}
--- a/internal/steward/rollouts.go
+++ b/internal/steward/rollouts.go
@@ -22,6 +22,10 @@
 type rollOutOutcomes struct {
 	// previous and target count the answers of the previous and the target version by route, and under allRoutes.
 	previous, target map[string]answerCounts
+	// previousPace and targetPace do the same by the pace of the answers.
+	previousPace, targetPace map[string]answerCounts
+	// paceByServer counts the answers of the target version by pace and server.
+	paceByServer messenger.PaceByServer
 	// runningOnPrevious is the number of requests in flight on the previous version.
 	runningOnPrevious int
 }
@@ -31,21 +35,25 @@
 
 // rollOutOutcomes sums the reported outcomes of one roll-out.
 func (s *Steward) rollOutOutcomes(r applier.RollOut) rollOutOutcomes {
-	sums := rollOutOutcomes{previous: map[string]answerCounts{}, target: map[string]answerCounts{}}
+	sums := rollOutOutcomes{previous: map[string]answerCounts{}, target: map[string]answerCounts{},
+		previousPace: map[string]answerCounts{}, targetPace: map[string]answerCounts{}, paceByServer: messenger.PaceByServer{}}
 	for _, list := range s.outcomes {
 		for _, o := range list {
 			if o.Service != r.Service || o.Target != r.TargetVersion {
 				continue
 			}
-			counts := sums.previous
+			counts, paces := sums.previous, sums.previousPace
 			if o.Version == r.TargetVersion {
-				counts = sums.target
+				counts, paces = sums.target, sums.targetPace
+				sums.paceByServer.Merge(o.PaceByServer)
 			} else {
 				sums.runningOnPrevious += o.InFlight
 			}
 			counts[allRoutes] = counts[allRoutes].withOutcomes(o)
+			paces[allRoutes] = paces[allRoutes].withPaces(o)
 			if o.Route != allRoutes {
 				counts[o.Route] = counts[o.Route].withOutcomes(o)
+				paces[o.Route] = paces[o.Route].withPaces(o)
 			}
 		}
 	}
@@ -55,11 +63,18 @@
 // decide returns the state in which a roll-out ends now and the reason; an empty state means that it continues.
 func (j *rollOutJudge) decide(sums rollOutOutcomes, elapsed, span timer.Millis) (applier.RollOutState, string) {
 	for route, c := range sums.target {
-		if previous := sums.previous[route]; j.isWorse(route, c, previous, elapsed) {
+		if previous := sums.previous[route]; j.failures.isWorse(route, c, previous, elapsed) {
 			return applier.RollOutRolledBack, fmt.Sprintf("route %q: %d of %d answers were bad, %d of %d on the version before",
 				route, c.bad, c.total(), previous.bad, previous.total())
 		}
 	}
+	for route, c := range sums.targetPace {
+		previous := sums.previousPace[route]
+		if j.pace.isWorse(route, c, previous, elapsed) && sums.paceByServer.IsSpread() {
+			return applier.RollOutRolledBack, fmt.Sprintf("route %q: %d of %d answers were slow, %d of %d on the version before",
+				route, c.bad, c.total(), previous.bad, previous.total())
+		}
+	}
 	overall := sums.target[allRoutes]
 	canComplete := elapsed*100 >= span*completionPercent && sums.runningOnPrevious == 0 && overall.total() > 0
 	if canComplete || elapsed >= span-completionReserve {
--- a/internal/steward/rollouts_test.go
+++ b/internal/steward/rollouts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -171,3 +172,53 @@
 		})
 	}
 }
+
+// Guards against a version that answers several times slower, without failures, being rolled out and kept.
+func TestSlowVersionIsRolledBack(t *testing.T) {
+	const (
+		span = 15 * timer.Second
+		// maxSlowCount is the number of slow answers up to which the target must be rolled back.
+		maxSlowCount = 50
+	)
+	evenly := messenger.PaceByServer{1: {On: 5, Off: 5}, 2: {On: 3, Off: 4}, 3: {On: 6, Off: 5}}
+	oneServer := messenger.PaceByServer{1: {Off: 14}, 2: {On: 20, Off: 1}, 3: {On: 20}}
+	tests := map[string]struct {
+		// previous and target are the answers of one second; bad ones are slow.
+		previous, target answerCounts
+		byServer         messenger.PaceByServer
+		want             applier.RollOutState
+	}{
+		"all answers are slow":                      {answerCounts{50, 4}, answerCounts{0, 4}, evenly, applier.RollOutRolledBack},
+		"half of the answers are slow":              {answerCounts{50, 6}, answerCounts{3, 3}, evenly, applier.RollOutRolledBack},
+		"the previous version is as slow":           {answerCounts{30, 30}, answerCounts{3, 3}, evenly, applier.RollOutCompleted},
+		"the target is as fast as the previous one": {answerCounts{50, 6}, answerCounts{9, 1}, evenly, applier.RollOutCompleted},
+		"a single server of the target is slow":     {answerCounts{50, 6}, answerCounts{4, 2}, oneServer, applier.RollOutCompleted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			judge := newRollOutJudge()
+			sums := rollOutOutcomes{previous: map[string]answerCounts{}, target: map[string]answerCounts{},
+				previousPace: map[string]answerCounts{}, targetPace: map[string]answerCounts{}, paceByServer: tt.byServer}
+			add := func(sums map[string]answerCounts, c answerCounts) {
+				sum := sums[allRoutes]
+				sums[allRoutes] = answerCounts{sum.good + c.good, sum.bad + c.bad}
+			}
+			for n := range int(span / timer.Second) {
+				add(sums.previousPace, tt.previous)
+				add(sums.targetPace, tt.target)
+				// A slow answer is a good one as far as failures go.
+				add(sums.previous, answerCounts{good: tt.previous.total()})
+				add(sums.target, answerCounts{good: tt.target.total()})
+				state, reason := judge.decide(sums, timer.Millis(n+1)*timer.Second, span)
+				if state == "" {
+					continue
+				}
+				if state != tt.want || state == applier.RollOutRolledBack && sums.targetPace[allRoutes].bad > maxSlowCount {
+					t.Fatalf("after %d s: state %q (%s), want %q", n+1, state, reason, tt.want)
+				}
+				return
+			}
+			t.Fatal("the roll-out has not ended")
+		})
+	}
+}
