--- a/internal/forwarder/pace_test.go
+++ b/internal/forwarder/pace_test.go
@@ -82,50 +82,53 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			previous, target := &fakeServer{respond: tt.answer(usual)}, &fakeServer{respond: tt.answer(slow)}
-			env := newTestEnv(t, tt.route, map[string]*fakeServer{"old": previous, "new": target})
+			env := newTestEnv(t, tt.route, map[string]*fakeServer{"old": {respond: tt.answer(usual)}, "new": {respond: tt.answer(slow)}})
 			for i := range env.members {
 				if env.members[i].Name == "new" {
 					env.members[i].Version, env.members[i].WarmUp, env.members[i].Incarnation = "v2", tt.warmUp, 2
 				}
 			}
-			publish := func(state applier.RollOutState) {
-				view := subscriber.View{Policy: env.policy, Members: env.members}
-				if state != "" {
-					view.RollOuts = []subscriber.RollOut{{RollOut: applier.RollOut{Service: "s", TargetVersion: "v2", State: state,
-						StartedAt: 1, MaxDuration: timer.Hour}, LocalStartedAt: env.f.deps.Telemetry.Clock.Now()}}
-				}
-				env.f.SetView(view)
-			}
-			publish("")
-			run := func(prefix string) {
-				for i := range perRun {
-					if _, broken := env.serve(Request{ID: fmt.Sprint(prefix, i), PromptTokens: 300}); broken {
-						t.Fatal("the answer was broken off")
-					}
-				}
-			}
-			run("before")
+			env.publishView()
+			env.serveInTurn("before", perRun)
 			// Only the target serves: its sessions have moved.
 			env.members = withoutMember(env.members, "old")
-			publish(applier.RollOutRunning)
-			run("during")
-			slowCount := 0
-			for _, o := range env.f.VersionOutcomes() {
-				if o.Version == "v2" && o.Route != "" {
-					slowCount += o.OffPace
-				}
-				if o.Version == "v2" && o.Route == "" && tt.minSlow > 0 && !o.PaceByServer.IsSpread() {
-					t.Errorf("the only server of the target is not slow: %v", o.PaceByServer)
-				}
-			}
-			if slowCount < tt.minSlow || slowCount > tt.maxSlow {
-				t.Fatalf("%d of %d answers of the target are slow, want %d to %d", slowCount, perRun, tt.minSlow, tt.maxSlow)
+			env.f.SetView(subscriber.View{Policy: env.policy, Members: env.members, RollOuts: []subscriber.RollOut{{
+				RollOut:        applier.RollOut{Service: "s", TargetVersion: "v2", State: applier.RollOutRunning, StartedAt: 1, MaxDuration: timer.Hour},
+				LocalStartedAt: env.f.deps.Telemetry.Clock.Now(),
+			}}})
+			env.serveInTurn("during", perRun)
+			slowCount, isSpread := slowAnswers(env.f.VersionOutcomes(), "v2")
+			if slowCount < tt.minSlow || slowCount > tt.maxSlow || isSpread != (tt.minSlow > 0) {
+				t.Fatalf("%d of %d answers of the target are slow, spread %t; want %d to %d", slowCount, perRun, isSpread, tt.minSlow, tt.maxSlow)
 			}
 		})
 	}
 }
 
+// serveInTurn sends a number of requests, one after the other.
+func (e *testEnv) serveInTurn(prefix string, count int) {
+	e.t.Helper()
+	for i := range count {
+		if _, broken := e.serve(Request{ID: fmt.Sprint(prefix, i), PromptTokens: 300}); broken {
+			e.t.Fatal("the answer was broken off")
+		}
+	}
+}
+
+// slowAnswers returns the slow answers of a version, and whether they are spread over its servers.
+func slowAnswers(outcomes []messenger.Outcomes, version string) (count int, isSpread bool) {
+	for _, o := range outcomes {
+		if o.Version != version {
+			continue
+		}
+		count += o.OffPace
+		if o.Route == "" {
+			isSpread = o.PaceByServer.IsSpread()
+		}
+	}
+	return count, isSpread
+}
+
 func withoutMember(members []registrar.Member, name string) []registrar.Member {
 	var list []registrar.Member
 	for _, m := range members {
--- a/internal/steward/rollouts.go
+++ b/internal/steward/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
@@ -60,6 +61,21 @@
 	return sums
 }
 
+// incarnationKey identifies one process run of an instance.
+func incarnationKey(g messenger.Greeting) string {
+	return fmt.Sprintf("%s#%d", g.Instance, g.Incarnation)
+}
+
+// clearRunning sets the running requests of a disconnected entry instance to 0, since it may never reconnect; its
+// counted answers stay.
+func (s *Steward) clearRunning(g messenger.Greeting) {
+	rows := slices.Clone(s.outcomes[incarnationKey(g)])
+	for i := range rows {
+		rows[i].InFlight = 0
+	}
+	s.outcomes[incarnationKey(g)] = rows
+}
+
 // decide returns the state in which a roll-out ends now and the reason; an empty state means that it continues.
 func (j *rollOutJudge) decide(sums rollOutOutcomes, elapsed, span timer.Millis) (applier.RollOutState, string) {
 	for route, c := range sums.target {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -321,19 +320,6 @@
 	}
 }
 
-// forwardEvidence sends crash reports and acquittals that are new here to all instances, once.
-func (s *Steward) forwardEvidence(p messenger.Packet) {
-	now := s.deps.Telemetry.Clock.Now()
-	before := s.evidence.Blocked()
-	added := messenger.Packet{CrashReports: s.evidence.AddReports(p.CrashReports, now), Acquittals: s.evidence.AddAcquittals(p.Acquittals, now)}
-	if len(added.CrashReports) > 0 || len(added.Acquittals) > 0 {
-		s.sendToAll(added)
-	}
-	if after := s.evidence.Blocked(); !slices.Equal(before, after) {
-		s.deps.Telemetry.Log.Warn("requests and prompt parts that crash backend servers", "blocked", after)
-	}
-}
-
 // handleOpened registers a new link and sends the peer the state that it may lack.
 func (s *Steward) handleOpened(conn *messenger.Link) {
 	peer := conn.PeerGreeting()
@@ -403,18 +389,3 @@
 	}
 	s.takeOverRelay(peer.DataCentre)
 }
-
-// incarnationKey identifies one process run of an instance.
-func incarnationKey(g messenger.Greeting) string {
-	return fmt.Sprintf("%s#%d", g.Instance, g.Incarnation)
-}
-
-// clearRunning sets the running requests of a disconnected entry instance to 0, since it may never reconnect; its
-// counted answers stay.
-func (s *Steward) clearRunning(g messenger.Greeting) {
-	rows := slices.Clone(s.outcomes[incarnationKey(g)])
-	for i := range rows {
-		rows[i].InFlight = 0
-	}
-	s.outcomes[incarnationKey(g)] = rows
-}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -301,6 +301,11 @@
 	if p.SyncReply > 0 && p.SyncReply == s.syncNumber {
 		s.syncReplied = true
 	}
+	s.handleServerReports(p)
+}
+
+// handleServerReports passes on what other instances know of backend servers in trouble.
+func (s *Subscriber) handleServerReports(p messenger.Packet) {
 	if len(p.ServerAlarms) > 0 {
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
