--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -80,8 +80,10 @@
 	onDial func()
 	// stoodStill makes the next check find that the process stood still.
 	stoodStill atomic.Bool
-	alarms     []messenger.ServerAlarm
-	mu         sync.Mutex
+	// connect returns the two ends of a connection.
+	connect func() (client, server net.Conn)
+	alarms  []messenger.ServerAlarm
+	mu      sync.Mutex
 }
 
 const testSlots = 8
@@ -113,7 +115,7 @@
 
 func newTestEnv(t *testing.T, route matcher.Route, servers map[string]*fakeServer) *testEnv {
 	t.Helper()
-	e := &testEnv{t: t, servers: servers}
+	e := &testEnv{t: t, servers: servers, connect: net.Pipe}
 	e.f = NewForwarder(Deps{
 		Telemetry: observer.NewDiscard(timer.NewSystemClock()), DataCentre: "a", Codec: testCodec(), Dial: e.dial,
 		Config: Config{RetryRatio: 1, RetryBurst: 20, RetryWindow: 10 * timer.Second, SessionTTL: 5 * timer.Second,
@@ -158,6 +160,23 @@
 	return e
 }
 
+// connectTCP returns the ends of a TCP connection on the loopback address. On net.Pipe, no read deadline can be set once the
+// other end is closed, so the end of a response is seen as an error at times.
+func (e *testEnv) connectTCP() (client, server net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		e.t.Fatal(err)
+	}
+	if server, err = l.Accept(); err != nil {
+		e.t.Fatal(err)
+	}
+	return client, server
+}
+
 func (e *testEnv) publishView() {
 	e.f.SetView(subscriber.View{Policy: e.policy, Members: e.members})
 }
@@ -174,7 +193,7 @@
 		e.onDial = nil
 		onDial()
 	}
-	client, server := net.Pipe()
+	client, server := e.connect()
 	go s.run(server)
 	return client, nil
 }
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -30,6 +30,7 @@
 			}
 			first, second := &fakeServer{respond: send(tt.first)}, &fakeServer{respond: send(tt.second)}
 			env := newTestEnv(t, streamRoute(true), map[string]*fakeServer{"first": first, "second": second})
+			env.connect = env.connectTCP
 			// The first server is the nearest one.
 			env.f.serversByName["second"].DataCentre = "b"
 			rec, broken := env.serve(Request{PromptTokens: 300})
