--- a/internal/steward/alarms.go
+++ b/internal/steward/alarms.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -91,7 +92,7 @@
 	list := s.alarms.take()
 	for _, a := range list {
 		s.deps.Telemetry.Log.Info("backend server fails", "server", a.Server, "refused", a.Refused,
-			"reporters", len(s.alarms.byServer[a.Server].reportedAt))
+			"reporters", slices.Sorted(maps.Keys(s.alarms.byServer[a.Server].reportedAt)))
 	}
 	s.sendToEntries(messenger.Packet{ServerAlarms: list})
 }
