--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -67,9 +67,14 @@
 
 // NewEntry builds an entry instance; an error names the invalid setting or address.
 func NewEntry(telemetry observer.Telemetry, settings configurer.Settings) (*Entry, error) {
+	return newEntry(telemetry, settings, exchanger.NewDial())
+}
+
+// newEntry builds an entry instance that opens its connections to backend servers with dial.
+func newEntry(telemetry observer.Telemetry, settings configurer.Settings, dial exchanger.Dial) (*Entry, error) {
 	e := &Entry{telemetry: telemetry, settings: settings, arrivals: newArrivals(telemetry.Clock)}
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
-		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, RegionOf: settings.Instance.RegionOf(), Codec: platform.NewCodec(), Dial: exchanger.NewDial(),
+		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, RegionOf: settings.Instance.RegionOf(), Codec: platform.NewCodec(), Dial: dial,
 		Config: forwarder.Config{
 			RetryRatio: float64(settings.Retries.Share), RetryBurst: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionTTL: settings.Session.Span,
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
 	"github.com/eelgrasshook/eelgrasshook/internal/reserver"
@@ -77,11 +78,17 @@
 
 // startEntry starts an entry instance.
 func (d *deployment) startEntry(name, callersAddr, readyAddr string) *Entry {
+	d.t.Helper()
+	return d.startEntryWithDial(name, callersAddr, readyAddr, exchanger.NewDial())
+}
+
+// startEntryWithDial starts an entry instance that opens its connections to backend servers with dial.
+func (d *deployment) startEntryWithDial(name, callersAddr, readyAddr string, dial exchanger.Dial) *Entry {
 	d.t.Helper()
 	s := d.entrySettings
 	s.Instance.Name, s.Instance.DataCentre = name, "a"
 	s.Listen.Callers, s.Listen.Ready = decoder.Address(callersAddr), decoder.Address(readyAddr)
-	e, err := NewEntry(observer.NewDiscard(timer.NewSystemClock()), s)
+	e, err := newEntry(observer.NewDiscard(timer.NewSystemClock()), s, dial)
 	if err != nil {
 		d.t.Fatal(err)
 	}
