Reach backend servers through other instances while the direct way is cut

Cause: an instance knew only the direct way to a server, so a fault of the way was treated as a fault of each server in turn. Class: one path to a dependency, and no way to tell the dependency's fault from the path's.

Change: package pathfinder opens connections directly or, when that fails or takes 80 ms, through another entry instance that copies bytes (package tunneler). Everything about a request stays at the instance that took it.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -42,6 +42,7 @@
 	Control decoder.Address `ini:"control" doc:"Address for announcements, operators and metrics; entry instances have none."`
 	Links   decoder.Address `ini:"links" doc:"Address for the links of other instances; the control address when empty. All control instances use the same port."`
 	Ready   decoder.Address `ini:"ready" doc:"Address at which an entry instance tells the balancer whether it takes callers."`
+	Tunnels decoder.Address `ini:"tunnels" doc:"Address at which an entry instance relays the connections of other entry instances to backend servers that these do not reach; only known backend servers are connected to. It relays none when empty."`
 	Metrics decoder.Address `ini:"metrics" doc:"Address of the metrics of entry and control instances; none when empty."`
 }
 
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -90,6 +90,18 @@
 	return err == nil && noData
 }
 
+// IsDetour reports whether the connection leads through another instance.
+func (c *Conn) IsDetour() bool {
+	_, ok := c.Conn.(Detour)
+	return ok
+}
+
+// isExpired reports whether the way of the connection should not be used any longer.
+func (c *Conn) isExpired() bool {
+	d, ok := c.Conn.(Detour)
+	return ok && d.IsExpired()
+}
+
 // Write sends the whole request.
 func (c *Conn) Write(req Request) error {
 	var b bytes.Buffer
--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -183,11 +183,11 @@
 		limits := testLimits()
 		limits.HeadTimeout, limits.BodyGrace = 15, 15
 		p := NewPool(Deps{Now: timer.NewSystemClock().Now, Limits: limits, Memory: NewMemory(64 << 10),
-			Dial: func(context.Context, string) (net.Conn, error) {
+			Dial: func(context.Context, Endpoint) (net.Conn, error) {
 				client, server := net.Pipe()
 				go s.run(server)
 				return client, nil
-			}}, "")
+			}}, Endpoint{})
 		const maxRequests = 24
 		for n := 0; n < maxRequests && !s.isDone(); n++ {
 			id := fmt.Sprintf("r%d", n)
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -27,11 +27,23 @@
 	tcpUserTimeoutOption = 18
 )
 
-// Dial opens a connection to an address before the context ends.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
+// Endpoint is where a backend server is reached.
+type Endpoint struct {
+	Address, DataCentre string
+}
+
+// Dial opens a connection to a backend server before the context ends. A connection that does not lead there directly
+// implements Detour.
+type Dial func(ctx context.Context, e Endpoint) (net.Conn, error)
+
+// Detour is a connection that leads through another instance.
+type Detour interface {
+	// IsExpired reports whether the connection should carry no further request.
+	IsExpired() bool
+}
 
-// NewDial returns a Dial for TCP.
-func NewDial() Dial {
+// NewDial returns a function that opens a TCP connection to an address before the context ends.
+func NewDial() func(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
@@ -54,16 +66,16 @@
 
 // Pool holds the idle connections to one incarnation of a backend server; it is safe for concurrent use.
 type Pool struct {
-	deps    Deps
-	address string
-	mu      sync.Mutex
-	idle    []*Conn
-	closed  bool
+	deps     Deps
+	endpoint Endpoint
+	mu       sync.Mutex
+	idle     []*Conn
+	closed   bool
 }
 
-// NewPool returns an empty pool of connections to an address.
-func NewPool(deps Deps, address string) *Pool {
-	return &Pool{deps: deps, address: address}
+// NewPool returns an empty pool of connections to a backend server.
+func NewPool(deps Deps, e Endpoint) *Pool {
+	return &Pool{deps: deps, endpoint: e}
 }
 
 // Get returns an idle connection that is still open and has no unread data, or nil. It returns none of the excluded
@@ -74,7 +86,7 @@
 		if c == nil {
 			return nil
 		}
-		if p.deps.Now()-c.lastUsedAt < c.idleTimeout && c.isUsable() {
+		if p.deps.Now()-c.lastUsedAt < c.idleTimeout && !c.isExpired() && c.isUsable() {
 			return c
 		}
 		_ = c.Close()
@@ -98,7 +110,7 @@
 func (p *Pool) Open(ctx context.Context, timeout timer.Millis) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	raw, err := p.deps.Dial(ctx, p.address)
+	raw, err := p.deps.Dial(ctx, p.endpoint)
 	if err != nil {
 		return nil, err
 	}
@@ -107,7 +119,7 @@
 
 // Put returns a connection that carries no request to the pool.
 func (p *Pool) Put(c *Conn) {
-	if c.SetDeadline(time.Time{}) != nil || c.reader.Buffered() > 0 {
+	if c.SetDeadline(time.Time{}) != nil || c.reader.Buffered() > 0 || c.isExpired() {
 		_ = c.Close()
 		return
 	}
@@ -148,6 +160,19 @@
 	p.idle = nil
 }
 
+// CloseDirect closes the idle connections that lead to the server directly.
+func (p *Pool) CloseDirect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		if c.IsDetour() {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+}
+
 // Expire closes the connections that have exceeded their idle timeout.
 func (p *Pool) Expire() {
 	p.mu.Lock()
--- a/internal/exchanger/response_test.go
+++ b/internal/exchanger/response_test.go
@@ -162,8 +162,8 @@
 			t.Parallel()
 			client, server := connPair(t)
 			deps := Deps{Now: timer.NewSystemClock().Now, Limits: testLimits(), Memory: NewMemory(1 << 20),
-				Dial: func(context.Context, string) (net.Conn, error) { return client, nil }}
-			p := NewPool(deps, "")
+				Dial: func(context.Context, Endpoint) (net.Conn, error) { return client, nil }}
+			p := NewPool(deps, Endpoint{})
 			c, err := p.Open(context.Background(), timer.Second)
 			if err != nil {
 				t.Fatal(err)
@@ -196,8 +196,8 @@
 func TestEndlessEventsEndWithTheConnection(t *testing.T) {
 	client, server := net.Pipe()
 	deps := Deps{Now: timer.NewSystemClock().Now, Limits: testLimits(), Memory: NewMemory(64 << 10),
-		Dial: func(context.Context, string) (net.Conn, error) { return client, nil }}
-	p := NewPool(deps, "")
+		Dial: func(context.Context, Endpoint) (net.Conn, error) { return client, nil }}
+	p := NewPool(deps, Endpoint{})
 	c, err := p.Open(context.Background(), timer.Second)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarder/alarms_test.go
+++ b/internal/forwarder/alarms_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -95,7 +96,7 @@
 func TestCallerThatLeavesDuringTheDialRaisesNoAlarm(t *testing.T) {
 	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s": {respond: replyDone}})
 	ctx, leave := context.WithCancel(context.Background())
-	env.f.exchange.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+	env.f.exchange.Dial = func(ctx context.Context, _ exchanger.Endpoint) (net.Conn, error) {
 		leave()
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/forwarder/cache_ranks.go
+++ b/internal/forwarder/cache_ranks.go
@@ -55,7 +55,7 @@
 	}
 	scopeOf := func(dataCentre string) string { return dataCentre }
 	if float64(t.sharedTokens()) >= minRegionalTokens {
-		scopeOf = t.f.regionOf
+		scopeOf = func(dataCentre string) string { return regionOf(t.f.deps.RegionOf, dataCentre) }
 	}
 	var tops []topWeights
 	for _, s := range list {
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -13,6 +13,8 @@
 	subscriber.View
 	// servers holds the servers of each service that accept new work, oldest first.
 	servers map[string][]*server
+	// addresses are the addresses of all servers that are not gone.
+	addresses map[string]bool
 	// rollOuts holds the newest roll-out of each service.
 	rollOuts map[string]subscriber.RollOut
 }
@@ -20,7 +22,7 @@
 // SetView replaces the current view; it is called by one goroutine at a time.
 func (f *Forwarder) SetView(v subscriber.View) {
 	old := f.fleetView.Load()
-	view := &fleetView{View: v, servers: map[string][]*server{}, rollOuts: map[string]subscriber.RollOut{}}
+	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{}}
 	for _, r := range v.RollOuts {
 		view.rollOuts[r.Service] = r
 	}
@@ -30,6 +32,7 @@
 		s := f.serverFor(previous[m.Name], m)
 		f.serversByName[m.Name] = s
 		delete(previous, m.Name)
+		view.addresses[m.Address] = true
 		if m.State == registrar.MemberStateServing {
 			view.servers[m.Service] = append(view.servers[m.Service], s)
 		}
@@ -42,6 +45,7 @@
 		slices.SortFunc(list, func(a, b *server) int { return int(a.Incarnation - b.Incarnation) })
 	}
 	f.fleetView.Store(view)
+	f.deps.Paths.Retain(view.addresses)
 	if view.Policy != old.Policy {
 		f.resetRouteStats()
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -45,8 +46,9 @@
 	// RegionOf is the region of each data centre; one that is missing is a region of its own.
 	RegionOf map[string]string
 	Codec    Codec
-	Dial     exchanger.Dial
-	Config   Config
+	// Paths opens the connections to backend servers.
+	Paths  *pathfinder.Pathfinder
+	Config Config
 	// OnCrash and OnAcquittal are called with what this instance found out about requests that crash backend servers.
 	OnCrash     func([]quarantiner.CrashReport)
 	OnAcquittal func([]quarantiner.Acquittal)
@@ -90,7 +92,7 @@
 		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
 		firstByteLatency:   deps.Telemetry.Histogram("requests.first-byte-ms"),
-		exchange: exchanger.Deps{Now: deps.Telemetry.Clock.Now, Dial: deps.Dial, Limits: deps.Config.Answers,
+		exchange: exchanger.Deps{Now: deps.Telemetry.Clock.Now, Dial: deps.Paths.Dial, Limits: deps.Config.Answers,
 			Memory: exchanger.NewMemory(deps.Config.MaxBufferedBytes)},
 	}
 	f.fleetView.Store(&fleetView{})
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
@@ -116,8 +117,10 @@
 func newTestEnv(t *testing.T, route matcher.Route, servers map[string]*fakeServer) *testEnv {
 	t.Helper()
 	e := &testEnv{t: t, servers: servers, connect: net.Pipe}
+	paths := pathfinder.NewPathfinder(pathfinder.Deps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), Dial: e.dial, OnChange: func() {},
+		Distance: func(_, to string) float64 { return DistanceCost(e.f.deps.RegionOf, e.f.deps.DataCentre, to) }})
 	e.f = NewForwarder(Deps{
-		Telemetry: observer.NewDiscard(timer.NewSystemClock()), DataCentre: "a", Codec: testCodec(), Dial: e.dial,
+		Telemetry: observer.NewDiscard(timer.NewSystemClock()), DataCentre: "a", Codec: testCodec(), Paths: paths,
 		Config: Config{RetryRatio: 1, RetryBurst: 20, RetryWindow: 10 * timer.Second, SessionTTL: 5 * timer.Second,
 			MinConfidence: 60, ConfidenceGain: 14, MaxBufferedBytes: 16 << 20, Answers: exchanger.Limits{
 				MaxHeadBytes: 64 << 10, HeadTimeout: 3 * timer.Second, MaxSkippedBytes: 1 << 20, MaxBodyBytes: 8 << 20,
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -138,26 +138,27 @@
 	if slowness > slowServerFactor {
 		cost = cost*slowness + slowServerCost
 	}
-	cost += t.f.distanceCost(s.DataCentre)
+	cost += t.f.deps.Paths.Distance(s.endpoint())
 	if cacheRank > 0 {
 		cost += float64(cacheRank) * coldCacheCost * float64(t.sharedTokens())
 	}
 	return cost
 }
 
-// distanceCost returns the cost of a server in the given data centre, in milliseconds.
-func (f *Forwarder) distanceCost(dataCentre string) float64 {
+// DistanceCost returns the cost of the way between two data centres, in milliseconds; a data centre without a region in
+// regions is a region of its own.
+func DistanceCost(regions map[string]string, from, to string) float64 {
 	switch {
-	case dataCentre == f.deps.DataCentre:
+	case from == to:
 		return 0
-	case f.regionOf(dataCentre) == f.regionOf(f.deps.DataCentre):
+	case regionOf(regions, from) == regionOf(regions, to):
 		return otherDataCentreCost
 	}
 	return otherRegionCost
 }
 
-func (f *Forwarder) regionOf(dataCentre string) string {
-	if region, ok := f.deps.RegionOf[dataCentre]; ok {
+func regionOf(regions map[string]string, dataCentre string) string {
+	if region, ok := regions[dataCentre]; ok {
 		return region
 	}
 	return dataCentre
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -76,7 +76,12 @@
 
 func newServer(m registrar.Member, deps exchanger.Deps) *server {
 	return &server{Member: m, serverState: &serverState{nameHash: xxhash.Sum64String(m.Name),
-		pool: exchanger.NewPool(deps, m.Address), ration: rationer.NewRation()}}
+		pool: exchanger.NewPool(deps, exchanger.Endpoint{Address: m.Address, DataCentre: m.DataCentre}), ration: rationer.NewRation()}}
+}
+
+// endpoint returns where the server is reached.
+func (s *server) endpoint() exchanger.Endpoint {
+	return exchanger.Endpoint{Address: s.Address, DataCentre: s.DataCentre}
 }
 
 // withMember returns the server with a newer announcement and the same state.
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -13,8 +13,10 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/forwarder"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
+	"github.com/eelgrasshook/eelgrasshook/internal/tunneler"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 	"github.com/eelgrasshook/eelgrasshook/platform"
@@ -58,11 +60,15 @@
 	settings   configurer.Settings
 	subscriber *subscriber.Subscriber
 	forwarder  *forwarder.Forwarder
-	callers    *listener
-	arrivals   *arrivals
-	ready      *listener
-	metrics    *listener
-	stopping   atomic.Bool
+	paths      *pathfinder.Pathfinder
+	// tunnels relays the connections of other entry instances; tunnelListener is nil if this one relays none.
+	tunnels        *tunneler.Handler
+	tunnelListener *listener
+	callers        *listener
+	arrivals       *arrivals
+	ready          *listener
+	metrics        *listener
+	stopping       atomic.Bool
 }
 
 // NewEntry builds an entry instance; an error names the invalid setting or address.
@@ -71,10 +77,15 @@
 }
 
 // newEntry builds an entry instance that opens its connections to backend servers with dial.
-func newEntry(telemetry observer.Telemetry, settings configurer.Settings, dial exchanger.Dial) (*Entry, error) {
+func newEntry(telemetry observer.Telemetry, settings configurer.Settings, dial func(context.Context, string) (net.Conn, error)) (*Entry, error) {
 	e := &Entry{telemetry: telemetry, settings: settings, arrivals: newArrivals(telemetry.Clock)}
+	regions := settings.Instance.RegionOf()
+	e.paths = pathfinder.NewPathfinder(pathfinder.Deps{
+		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, Dial: dial, OnChange: e.handlePathChange,
+		Distance: func(from, to string) float64 { return forwarder.DistanceCost(regions, from, to) },
+	})
 	e.forwarder = forwarder.NewForwarder(forwarder.Deps{
-		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, RegionOf: settings.Instance.RegionOf(), Codec: platform.NewCodec(), Dial: dial,
+		Telemetry: telemetry, DataCentre: settings.Instance.DataCentre, RegionOf: regions, Codec: platform.NewCodec(), Paths: e.paths,
 		Config: forwarder.Config{
 			RetryRatio: float64(settings.Retries.Share), RetryBurst: float64(settings.Retries.Slack),
 			RetryWindow: settings.Retries.Window, SessionTTL: settings.Session.Span,
@@ -90,12 +101,14 @@
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
 		Telemetry: telemetry, Self: messenger.Greeting{
 			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Incarnation: int64(telemetry.Clock.Now()),
+			Gateway: string(settings.Listen.Tunnels),
 		},
-		RegionOf: settings.Instance.RegionOf(), Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
+		RegionOf: regions, Seeds: linkAddresses(settings), DecodePolicy: platform.DecodeStoredPolicy, Publish: e.forwarder.SetView, Outcomes: e.forwarder.VersionOutcomes,
 		PendingPrefill: e.forwarder.PendingPrefill, SetOthersPrefill: e.forwarder.SetOthersPrefill,
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
 		SuspendServers: e.forwarder.SuspendServers, AddCrashReports: e.forwarder.AddCrashReports, AddAcquittals: e.forwarder.AddAcquittals,
 		RateReports: e.forwarder.RateReports, SetOthersRates: e.forwarder.SetOthersRates,
+		SetGateways: e.paths.SetGateways,
 	})
 	handler := platform.RequestHandler{
 		Telemetry: telemetry, Limits: e.forwarder.Limits, ClosesConnections: e.stopping.Load,
@@ -112,6 +125,12 @@
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
 		return nil, err
 	}
+	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: telemetry, Dial: dial, IsServer: e.forwarder.IsServer, IsCutOff: e.paths.IsCutOff})
+	if settings.Listen.Tunnels != "" {
+		if e.tunnelListener, err = e.listen(settings.Listen.Tunnels, e.tunnels); err != nil {
+			return nil, err
+		}
+	}
 	if settings.Listen.Metrics != "" {
 		e.metrics, err = e.listen(settings.Listen.Metrics, observer.MetricsHandler(telemetry))
 	}
@@ -167,7 +186,11 @@
 // Start connects to the control instances and starts to serve callers.
 func (e *Entry) Start() error {
 	e.forwarder.Start()
+	e.paths.Start()
 	e.subscriber.Start()
+	if e.tunnelListener != nil {
+		e.tunnelListener.start()
+	}
 	e.callers.start()
 	e.ready.start()
 	if e.metrics != nil {
@@ -194,6 +217,7 @@
 func (e *Entry) Stop() error {
 	stopStart := e.telemetry.Clock.Now()
 	e.stopping.Store(true)
+	e.subscriber.SetGateway("")
 	e.telemetry.Log.Info("entry instance stops", "running", e.forwarder.InFlight(), "limit", e.settings.Stop.Limit)
 	err := e.telemetry.Clock.Sleep(context.Background(), e.settings.Stop.ReadinessWait)
 	remaining := max(0, e.settings.Stop.Limit-stopReserve-(e.telemetry.Clock.Now()-stopStart))
@@ -202,7 +226,30 @@
 	arrivalsCtx, stopWaiting := context.WithTimeout(ctx, (remaining / arrivalsShare).Duration())
 	e.arrivals.awaitQuiet(arrivalsCtx)
 	stopWaiting()
+	drained := make(chan struct{})
+	go e.runTunnelDrain(ctx, drained)
 	err = trace.NewAggregate(err, e.callers.stop(ctx))
+	<-drained
 	e.telemetry.Log.Info("entry instance stopped", "cut-off", e.forwarder.InFlight(), "error", err)
-	return trace.NewAggregate(e.ready.kill(), e.subscriber.Stop(), e.forwarder.Stop())
+	errs := []error{e.ready.kill(), e.subscriber.Stop(), e.forwarder.Stop(), e.paths.Stop()}
+	if e.tunnelListener != nil {
+		errs = append(errs, e.tunnelListener.kill())
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// runTunnelDrain lets the connections that this instance relays end.
+func (e *Entry) runTunnelDrain(ctx context.Context, drained chan<- struct{}) {
+	defer close(drained)
+	e.tunnels.Drain(ctx)
+}
+
+// handlePathChange offers to relay the connections of others only while this instance reaches servers itself.
+func (e *Entry) handlePathChange() {
+	e.forwarder.HandlePathChange()
+	if e.paths.IsCutOff() || e.stopping.Load() {
+		e.subscriber.SetGateway("")
+		return
+	}
+	e.subscriber.SetGateway(string(e.settings.Listen.Tunnels))
 }
--- a/internal/launcher/partition_test.go
+++ b/internal/launcher/partition_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -124,8 +125,10 @@
 		e := f.startEntryWithDial(fmt.Sprint("p", n+1), f.addrs[n], fmt.Sprintf("127.0.0.1:%d", ports[1]), dial)
 		f.entries = append(f.entries, e)
 		t.Cleanup(func() {
-			if err := e.Stop(); err != nil {
-				t.Error(err)
+			if slices.Contains(f.entries, e) {
+				if err := e.Stop(); err != nil {
+					t.Error(err)
+				}
 			}
 		})
 	}
@@ -236,6 +239,54 @@
 	}
 }
 
+// Guards against an instance that goes on through others after its partition has ended, or takes itself for cut off for good.
+func TestInstanceReachesServersDirectlyAfterPartition(t *testing.T) {
+	const returnTime = 2 * time.Second
+	p := &partition{hangs: true, resets: true}
+	f := newPartitionedFleet(t, p, 1)
+	for round := range 2 {
+		p.begin()
+		f.sendFor(f.addrs[0], contactTime)
+		if !f.entries[0].paths.IsCutOff() {
+			t.Fatalf("partition %d was not noticed", round)
+		}
+		p.end()
+		f.sendFor(f.addrs[0], returnTime)
+		detours := f.entries[0].telemetry.Counter("servers.detours").Count()
+		f.sendFor(f.addrs[0], returnTime)
+		if n := f.entries[0].telemetry.Counter("servers.detours").Count(); f.entries[0].paths.IsCutOff() || n > detours {
+			t.Fatalf("%d connections still lead through other instances after partition %d", n-detours, round)
+		}
+	}
+}
+
+// Guards against a planned stop of the instance that relays connections breaking requests of the instance that uses it.
+func TestStopOfGatewayBreaksNoRequest(t *testing.T) {
+	p := &partition{hangs: true, resets: true}
+	f := newPartitionedFleet(t, p, 1)
+	p.begin()
+	f.sendFor(f.addrs[0], contactTime)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.entries[1].Stop() }()
+	sent, served := 0, 0
+	for done := false; !done; {
+		n, ok := f.send(f.addrs[0])
+		sent, served = sent+n, served+ok
+		select {
+		case err := <-stopped:
+			if err != nil {
+				t.Error(err)
+			}
+			done = true
+		default:
+		}
+	}
+	if served < sent {
+		t.Fatalf("%d of %d requests failed while another instance stopped", sent-served, sent)
+	}
+	f.entries = append(f.entries[:1], f.entries[2:]...)
+}
+
 // Guards against partitioned instances whose alarms suspend healthy servers at all other instances.
 func TestPartitionedInstancesDoNotSuspendServersElsewhere(t *testing.T) {
 	for name, p := range partitions() {
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -1,8 +1,10 @@
 package launcher
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -83,11 +85,16 @@
 }
 
 // startEntryWithDial starts an entry instance that opens its connections to backend servers with dial.
-func (d *deployment) startEntryWithDial(name, callersAddr, readyAddr string, dial exchanger.Dial) *Entry {
+func (d *deployment) startEntryWithDial(name, callersAddr, readyAddr string, dial func(context.Context, string) (net.Conn, error)) *Entry {
 	d.t.Helper()
 	s := d.entrySettings
 	s.Instance.Name, s.Instance.DataCentre = name, "a"
 	s.Listen.Callers, s.Listen.Ready = decoder.Address(callersAddr), decoder.Address(readyAddr)
+	ports, err := reserver.ReservePorts(1)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	s.Listen.Tunnels = decoder.Address(fmt.Sprintf("127.0.0.1:%d", ports[0]))
 	e, err := newEntry(observer.NewDiscard(timer.NewSystemClock()), s, dial)
 	if err != nil {
 		d.t.Fatal(err)
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -20,6 +20,15 @@
 	Stopping bool          `cbor:"5,keyasint,omitempty"`
 	// Incarnation differs for each start of an instance.
 	Incarnation int64 `cbor:"6,keyasint,omitempty"`
+	// Gateway is the address at which an entry instance relays the connections of others to backend servers; empty if it
+	// does not, for instance because it does not reach the servers itself. An entry instance sends a new greeting when it changes.
+	Gateway string `cbor:"7,keyasint,omitempty"`
+}
+
+// Gateway is an entry instance that relays the connections of others to backend servers.
+type Gateway struct {
+	Address    string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
 }
 
 // Outcomes counts the answers that one entry instance has seen from a version on one route during a roll-out, as totals
@@ -125,6 +134,9 @@
 	// the others know. HasRateReports is set when the packet reports either, even if the list is empty.
 	RateReports    []rationer.Report `cbor:"23,keyasint,omitempty"`
 	HasRateReports bool              `cbor:"24,keyasint,omitempty"`
+	// RequestsGateways asks a control instance for some entry instances that relay connections, which it sends as Gateways.
+	RequestsGateways bool      `cbor:"25,keyasint,omitempty"`
+	Gateways         []Gateway `cbor:"26,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- /dev/null
+++ b/internal/pathfinder/dial.go
@@ -0,0 +1,244 @@
+package pathfinder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/tunneler"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+const (
+	// attemptDelay is how long one way may take before the next one is tried beside it. The round trip to the farthest server
+	// takes tens of milliseconds.
+	attemptDelay = 80 * timer.Millisecond
+	// fruitlessSpan is how long no gateway is asked for a server that they do not reach either.
+	fruitlessSpan = timer.Second
+	// maxDetourTokens and detourTokenInterval bound the connections that are tried through gateways while the direct way is
+	// not known to be cut: an instance that is itself slow must not burden the others.
+	maxDetourTokens     = 8
+	detourTokenInterval = 40 * timer.Millisecond
+)
+
+// ErrNoPath is the error of a server that is reached neither directly nor through a gateway.
+var ErrNoPath = errors.New("no way to the backend server")
+
+// attempt is the outcome of one way to a server; gateway is nil for the direct one.
+type attempt struct {
+	conn    net.Conn
+	gateway *gateway
+	err     error
+}
+
+// race is the search for a connection to one server.
+type race struct {
+	p        *Pathfinder
+	endpoint exchanger.Endpoint
+	// ways are tried in this order; nil is the direct one.
+	ways []*gateway
+	// isDetour means that the direct way is known to be cut.
+	isDetour       bool
+	outcomes       chan attempt
+	started, ended int
+	failures       []attempt
+}
+
+// Dial opens a connection to a server before the context ends. It starts with the way that worked last, and tries the next one
+// beside it when that one fails or takes long.
+func (p *Pathfinder) Dial(ctx context.Context, e exchanger.Endpoint) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := p.newRace(e)
+	defer func() { go r.runCleanup() }()
+	r.startNext(ctx)
+	for r.ended < len(r.ways) {
+		select {
+		case a := <-r.outcomes:
+			r.ended++
+			if a.err == nil {
+				r.recordSuccess(a)
+				return a.conn, nil
+			}
+			r.failures = append(r.failures, a)
+			r.startNext(ctx)
+		case <-r.nextDue():
+			r.startNext(ctx)
+		case <-ctx.Done():
+			return nil, r.failure(ctx.Err())
+		}
+	}
+	return nil, r.failure(nil)
+}
+
+func (p *Pathfinder) newRace(e exchanger.Endpoint) *race {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.deps.Telemetry.Clock.Now()
+	var gateways []*gateway
+	if p.cutOff || now >= p.fruitless[e.Address] {
+		gateways = p.chooseGateways(e.DataCentre, now)
+	}
+	r := &race{p: p, endpoint: e, isDetour: p.isDetour(e.Address) && len(gateways) > 0}
+	if r.isDetour {
+		r.ways = append(gateways, nil)
+	} else {
+		r.ways = append([]*gateway{nil}, gateways...)
+	}
+	r.outcomes = make(chan attempt, len(r.ways))
+	return r
+}
+
+// nextDue returns a channel that delivers when the next way is to be tried, nil if there is none.
+func (r *race) nextDue() <-chan timer.Tick {
+	if r.started == len(r.ways) {
+		return nil
+	}
+	return r.p.deps.Telemetry.Clock.After(attemptDelay)
+}
+
+// startNext tries the next way, if there is one and it may be tried now.
+func (r *race) startNext(ctx context.Context) {
+	if r.started == len(r.ways) {
+		return
+	}
+	way := r.ways[r.started]
+	if way != nil && !r.isDetour && !r.p.takeDetourToken() {
+		return
+	}
+	r.started++
+	go r.runAttempt(ctx, way)
+}
+
+// takeDetourToken reports whether another connection may be tried through a gateway.
+func (p *Pathfinder) takeDetourToken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.deps.Telemetry.Clock.Now()
+	p.detourTokens = min(maxDetourTokens, p.detourTokens+float64(now-p.tokensRefilledAt)/float64(detourTokenInterval))
+	p.tokensRefilledAt = now
+	if p.detourTokens < 1 {
+		return false
+	}
+	p.detourTokens--
+	return true
+}
+
+// runAttempt tries one way.
+func (r *race) runAttempt(ctx context.Context, way *gateway) {
+	a := attempt{gateway: way}
+	if way == nil {
+		a.conn, a.err = r.p.deps.Dial(ctx, r.endpoint.Address)
+		r.outcomes <- a
+		return
+	}
+	tunnel, err := tunneler.Dial(ctx, r.p.deps.Dial, way.Address, r.endpoint.Address)
+	if err == nil {
+		a.conn = r.p.newDetourConn(tunnel, r.endpoint, way)
+	} else if a.err = err; !hasAnswered(err) && !errors.Is(err, context.Canceled) {
+		r.p.suspend(way)
+	}
+	r.outcomes <- a
+}
+
+// hasAnswered reports whether the error of a gateway tells that it does not reach the server.
+func hasAnswered(err error) bool {
+	return errors.Is(err, tunneler.ErrUnreachable) || errors.Is(err, tunneler.ErrRefused)
+}
+
+// runCleanup closes the connections that are opened too late.
+func (r *race) runCleanup() {
+	for range r.started - r.ended {
+		if a := <-r.outcomes; a.err == nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
+func (r *race) recordSuccess(a attempt) {
+	if a.gateway == nil {
+		r.p.recordDirect(r.endpoint)
+		return
+	}
+	r.p.deps.Telemetry.Counter("servers.detours").Inc(1)
+	var directErr error
+	for _, f := range r.failures {
+		if f.gateway == nil {
+			directErr = f.err
+		}
+	}
+	r.p.recordDetour(r.endpoint, a.gateway, directErr)
+}
+
+// failure returns the error of a race without a winner. It wraps syscall.ECONNREFUSED only if a gateway was refused too, or if
+// there is none to ask: an instance may be refused by a fault on its own way.
+func (r *race) failure(ctxErr error) error {
+	asked, refused := r.started, false
+	text := ""
+	for _, f := range r.failures {
+		if f.gateway == nil {
+			asked--
+		}
+		refused = refused || errors.Is(f.err, tunneler.ErrRefused)
+		text += "; " + f.err.Error()
+	}
+	switch {
+	case len(r.ways) == 1 && len(r.failures) == 1:
+		return r.failures[0].err
+	case refused:
+		r.markFruitless()
+		return fmt.Errorf("%w%s: %w", ErrNoPath, text, syscall.ECONNREFUSED)
+	case asked > 0 && !errors.Is(ctxErr, context.Canceled):
+		r.markFruitless()
+	}
+	if ctxErr != nil {
+		return fmt.Errorf("%w%s: %w", ErrNoPath, text, ctxErr)
+	}
+	return fmt.Errorf("%w%s", ErrNoPath, text)
+}
+
+// markFruitless keeps the next connections to the server from asking gateways again.
+func (r *race) markFruitless() {
+	r.p.mu.Lock()
+	defer r.p.mu.Unlock()
+	r.p.fruitless[r.endpoint.Address] = r.p.deps.Telemetry.Clock.Now() + fruitlessSpan
+}
+
+// detourConn is a connection through a gateway.
+type detourConn struct {
+	*tunneler.Conn
+	p         *Pathfinder
+	endpoint  exchanger.Endpoint
+	gateway   *gateway
+	closeOnce sync.Once
+}
+
+func (p *Pathfinder) newDetourConn(c *tunneler.Conn, e exchanger.Endpoint, via *gateway) *detourConn {
+	p.countTunnel(via, 1)
+	return &detourConn{Conn: c, p: p, endpoint: e, gateway: via}
+}
+
+// Close closes the connection.
+func (c *detourConn) Close() error {
+	c.closeOnce.Do(func() { c.p.countTunnel(c.gateway, -1) })
+	return c.Conn.Close()
+}
+
+// Read reads what the server has sent.
+func (c *detourConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, tunneler.ErrCut) && !errors.Is(err, net.ErrClosed) {
+		c.p.suspend(c.gateway)
+	}
+	return n, err
+}
+
+// IsExpired reports whether the connection should carry no further request: its server is reached directly again, or its
+// gateway stops.
+func (c *detourConn) IsExpired() bool {
+	return c.Conn.IsExpired() || !c.p.IsDetour(c.endpoint.Address)
+}
--- /dev/null
+++ b/internal/pathfinder/pathfinder.go
@@ -0,0 +1,255 @@
+package pathfinder
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+const (
+	// cutOffServers is the number of servers that are reached only through gateways, while none is reached directly, from
+	// which this instance takes itself for cut off from all servers.
+	cutOffServers = 2
+	// probeInterval is the time between direct connections that are tried while servers are reached through gateways, and
+	// probeTimeout the time that each may take.
+	probeInterval = 400 * timer.Millisecond
+	probeTimeout  = 250 * timer.Millisecond
+)
+
+// Deps are the dependencies of a pathfinder.
+type Deps struct {
+	Telemetry  observer.Telemetry
+	DataCentre string
+	// Distance returns the cost of the way between two data centres.
+	Distance func(from, to string) float64
+	// Dial opens a connection directly.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnChange is called after the way to a server, or to all servers, has changed.
+	OnChange func()
+}
+
+// Pathfinder opens connections to backend servers; it is safe for concurrent use.
+type Pathfinder struct {
+	deps Deps
+	// hasDetours is true while detours is not empty, or cutOff is true.
+	hasDetours atomic.Bool
+	// wake wakes the goroutine that probes the direct way.
+	wake chan struct{}
+	tomb tomb.Tomb
+
+	mu       sync.Mutex
+	gateways []*gateway
+	// detours are the servers that are reached only through gateways, by address; firstDetourAt is the time of the oldest one.
+	detours       map[string]exchanger.Endpoint
+	firstDetourAt timer.Millis
+	// direct are the servers that were reached directly, by address, the last one at directAt.
+	direct   map[string]exchanger.Endpoint
+	directAt timer.Millis
+	// fruitless is until when no gateway is asked for a server, by address.
+	fruitless map[string]timer.Millis
+	// cutOff means that no server is reached directly.
+	cutOff bool
+	// detourTokens are the connections that may be tried through gateways at once.
+	detourTokens     float64
+	tokensRefilledAt timer.Millis
+}
+
+// NewPathfinder returns a pathfinder that knows of no gateway.
+func NewPathfinder(deps Deps) *Pathfinder {
+	return &Pathfinder{deps: deps, wake: make(chan struct{}, 1), detours: map[string]exchanger.Endpoint{},
+		direct: map[string]exchanger.Endpoint{}, fruitless: map[string]timer.Millis{}, detourTokens: maxDetourTokens}
+}
+
+// Start starts the probes of the direct way, which run only while servers are reached through gateways.
+func (p *Pathfinder) Start() {
+	p.tomb.Go(p.loop)
+}
+
+// Stop ends the probes.
+func (p *Pathfinder) Stop() error {
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+// IsCutOff reports whether this instance reaches no server directly.
+func (p *Pathfinder) IsCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cutOff
+}
+
+// IsDetour reports whether a server is reached through a gateway.
+func (p *Pathfinder) IsDetour(address string) bool {
+	if !p.hasDetours.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isDetour(address)
+}
+
+func (p *Pathfinder) isDetour(address string) bool {
+	_, ok := p.detours[address]
+	return p.cutOff || ok
+}
+
+// Distance returns the cost of the way to a server, through a gateway if it is reached so.
+func (p *Pathfinder) Distance(e exchanger.Endpoint) float64 {
+	if !p.hasDetours.Load() {
+		return p.deps.Distance(p.deps.DataCentre, e.DataCentre)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isDetour(e.Address) {
+		if chosen := p.chooseGateways(e.DataCentre, p.deps.Telemetry.Clock.Now()); len(chosen) > 0 {
+			via := chosen[0].DataCentre
+			return p.deps.Distance(p.deps.DataCentre, via) + p.deps.Distance(via, e.DataCentre)
+		}
+	}
+	return p.deps.Distance(p.deps.DataCentre, e.DataCentre)
+}
+
+// Retain forgets all servers but those at the given addresses.
+func (p *Pathfinder) Retain(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range []map[string]exchanger.Endpoint{p.detours, p.direct} {
+		for a := range m {
+			if !addresses[a] {
+				delete(m, a)
+			}
+		}
+	}
+	for a := range p.fruitless {
+		if !addresses[a] {
+			delete(p.fruitless, a)
+		}
+	}
+	if len(p.detours) == 0 {
+		p.cutOff = false
+	}
+	p.hasDetours.Store(len(p.detours) > 0)
+}
+
+// recordDirect records a direct connection to a server.
+func (p *Pathfinder) recordDirect(e exchanger.Endpoint) {
+	if p.endDetour(e) {
+		p.deps.OnChange()
+	}
+}
+
+// endDetour ends the detour to a server that was reached directly, and reports whether anything has changed. If this instance
+// took itself for cut off, that ends too: the other servers are tried directly first again.
+func (p *Pathfinder) endDetour(e exchanger.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.direct[e.Address] = e
+	p.directAt = p.deps.Telemetry.Clock.Now()
+	_, wasDetour := p.detours[e.Address]
+	if !wasDetour && !p.cutOff {
+		return false
+	}
+	delete(p.detours, e.Address)
+	if p.cutOff && wasDetour {
+		clear(p.detours)
+	}
+	p.deps.Telemetry.Log.Info("backend server is reached directly again", "address", e.Address, "was-cut-off", p.cutOff,
+		"detours", len(p.detours))
+	p.cutOff = false
+	p.hasDetours.Store(len(p.detours) > 0)
+	return true
+}
+
+// recordDetour records that a server was reached through a gateway, while the direct way failed or took long.
+func (p *Pathfinder) recordDetour(e exchanger.Endpoint, via *gateway, directErr error) {
+	if p.beginDetour(e, via, directErr) {
+		p.deps.OnChange()
+	}
+}
+
+// beginDetour begins the detour to a server, and reports whether that is new.
+func (p *Pathfinder) beginDetour(e exchanger.Endpoint, via *gateway, directErr error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.fruitless, e.Address)
+	delete(p.direct, e.Address)
+	if _, known := p.detours[e.Address]; known {
+		return false
+	}
+	now := p.deps.Telemetry.Clock.Now()
+	if len(p.detours) == 0 {
+		p.firstDetourAt = now
+	}
+	p.detours[e.Address] = e
+	p.hasDetours.Store(true)
+	if !p.cutOff {
+		p.deps.Telemetry.Log.Warn("backend server is reached through a gateway only", "address", e.Address, "gateway", via.Address,
+			"gateway-data-centre", via.DataCentre, "error", directErr, "detours", len(p.detours))
+	}
+	if !p.cutOff && len(p.detours) >= cutOffServers && p.directAt < p.firstDetourAt {
+		p.cutOff = true
+		p.deps.Telemetry.Log.Warn("no backend server is reached directly; all connections lead through gateways",
+			"gateways", len(p.gateways), "last-direct-ms", int64(now-p.directAt))
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// loop probes the direct way while there are detours.
+func (p *Pathfinder) loop() error {
+	ctx := p.tomb.Context(context.Background())
+	for {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		for n := 0; p.hasDetours.Load(); n++ {
+			if p.deps.Telemetry.Clock.Sleep(ctx, probeInterval) != nil {
+				return nil
+			}
+			if e, ok := p.nextProbe(n); ok {
+				p.probe(ctx, e)
+			}
+		}
+	}
+}
+
+// nextProbe returns the server for the nth probe. An instance that takes itself for cut off also tries servers that it
+// reached directly before: only some may be cut off.
+func (p *Pathfinder) nextProbe(n int) (exchanger.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from := p.detours
+	if p.cutOff && len(p.direct) > 0 && n%2 == 1 {
+		from = p.direct
+	}
+	// The order of a map is random, so no server is left out for long.
+	for _, e := range from {
+		return e, true
+	}
+	return exchanger.Endpoint{}, false
+}
+
+// probe tries a direct connection.
+func (p *Pathfinder) probe(ctx context.Context, e exchanger.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	conn, err := p.deps.Dial(ctx, e.Address)
+	if err != nil {
+		p.deps.Telemetry.Log.Debug("backend server is not reached directly yet", "address", e.Address, "error", err)
+		return
+	}
+	_ = conn.Close()
+	p.recordDirect(e)
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -299,6 +299,9 @@
 	if p.RequestsRoster {
 		conn.Send(messenger.Packet{Members: s.roster.Members()})
 	}
+	if p.RequestsGateways {
+		conn.Send(messenger.Packet{Gateways: s.chooseGateways(sender)})
+	}
 	if p.SyncRequest > 0 {
 		conn.Send(messenger.Packet{SyncReply: p.SyncRequest})
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
@@ -75,6 +76,8 @@
 	// others know.
 	RateReports    func() []rationer.Report
 	SetOthersRates func([]rationer.Report)
+	// SetGateways receives instances that connections to backend servers may lead through.
+	SetGateways func([]messenger.Gateway)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
 	Outcomes func() []messenger.Outcomes
 }
@@ -103,6 +106,10 @@
 	syncUntil  timer.Millis
 	// syncReplied means that the reply has arrived and its view is not published yet.
 	syncReplied bool
+	// gateway is the address at which this instance relays the connections of others.
+	gateway atomic.Pointer[string]
+	// gatewaysRequestedAt is the time of the last request for gateways.
+	gatewaysRequestedAt timer.Millis
 	// hasReportedRates means that the last report on request limits was not empty.
 	hasReportedRates bool
 	// hasReportedPrefill means that the last report on waiting prefill was not empty.
@@ -118,9 +125,10 @@
 		roster:     registrar.NewRoster(),
 		standstill: newStandstill(deps.Telemetry.Clock),
 	}
+	s.gateway.Store(&deps.Self.Gateway)
 	s.dialer = messenger.NewDialer(messenger.LinkHandler{
 		Telemetry:   deps.Telemetry,
-		NewGreeting: func() messenger.Greeting { return deps.Self },
+		NewGreeting: s.greeting,
 		OnOpen:      func(l *messenger.Link) { s.enqueue(func() { s.handleOpened(l) }) },
 		OnClose:     func(l *messenger.Link) { s.enqueue(func() { s.handleClosed(l) }) },
 		OnPacket:    func(l *messenger.Link, p messenger.Packet) { s.enqueue(func() { s.handlePacket(l, p) }) },
@@ -203,6 +211,7 @@
 		case <-prefillReportDue:
 			s.reportPendingPrefill()
 			s.reportRates()
+			s.refreshGateways()
 			prefillReportDue = s.deps.Telemetry.Clock.After(prefillReportInterval)
 		case <-outcomeReportDue:
 			if outcomes := s.deps.Outcomes(); len(outcomes) > 0 {
@@ -309,6 +318,9 @@
 	if len(p.ServerAlarms) > 0 {
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
+	if len(p.Gateways) > 0 {
+		s.deps.SetGateways(p.Gateways)
+	}
 	if p.HasRateReports {
 		s.deps.SetOthersRates(p.RateReports)
 	}
