Do not blame servers, versions and requests for a way that is cut

Cause: each broken connection, stall or failed dial counted as a fault of the server: it raised an alarm that suspends the server at every instance, a crash report that blocks the request, and a bad answer of the server's version. Class: a symptom at one end of a path taken for the state of the other end, and told to all.

Change: after a broken attempt the connection that is opened to the server says whether the way is sound; without that the attempt counts for nothing. A server that is not reached raises an alarm only if a gateway confirms it, and a gateway confirms it only if it reaches another server itself. Broken attempts over a detour count at this instance alone. A connection opened since the break serves all requests that broke together.

--- a/internal/forwarder/alarms.go
+++ b/internal/forwarder/alarms.go
@@ -18,6 +18,9 @@
 // reportAlarm tells the other instances that a server fails, so that not each of them has to find out by a request of
 // its own; refused means that no process listens at the server's address.
 func (f *Forwarder) reportAlarm(s *server, now timer.Millis, refused bool) {
+	if f.deps.Paths.IsDetour(s.Address) {
+		return
+	}
 	last := s.alarmedAt.Load()
 	if now-timer.Millis(last) < alarmInterval || !s.alarmedAt.CompareAndSwap(last, int64(now)) {
 		return
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -12,8 +12,8 @@
 
 const (
 	// probeTimeout is how long a server may take to accept a connection; the round trip to the farthest takes tens of
-	// milliseconds.
-	probeTimeout = 150 * timer.Millisecond
+	// milliseconds, and another instance is asked when there is no answer after that.
+	probeTimeout = 250 * timer.Millisecond
 	// probeValidity is how long the outcome of a probe holds: the requests of a server that goes down break together.
 	probeValidity = 100 * timer.Millisecond
 	// survivalTime is how long an answer must go on after its first event to show that its request does not crash servers.
@@ -30,11 +30,12 @@
 	err      error
 }
 
-// probe returns the error of a new connection to the server, nil if it accepts one.
-func (s *server) probe(ctx context.Context, now func() timer.Millis) error {
+// probe returns the error of a new connection to the server, nil if it accepts one. A connection that was opened for another
+// request since brokenAt serves as well.
+func (s *server) probe(ctx context.Context, brokenAt timer.Millis, now func() timer.Millis) error {
 	s.crashProbe.mu.Lock()
 	defer s.crashProbe.mu.Unlock()
-	if s.crashProbe.err != nil && now()-s.crashProbe.probedAt < probeValidity {
+	if s.crashProbe.err != nil && now()-s.crashProbe.probedAt < probeValidity || s.crashProbe.probedAt > brokenAt {
 		return s.crashProbe.err
 	}
 	conn, err := s.pool.Open(ctx, probeTimeout)
@@ -49,20 +50,17 @@
 	return err
 }
 
-// recordCrash reports the request to the fleet if its server went down before the answer had gone on for a while.
-func (t *task) recordCrash(ctx context.Context, x *exchange) {
+// recordCrash reports the request to the fleet if its server, which does not accept the connection of a probe, went down before
+// the answer had gone on for a while.
+func (t *task) recordCrash(x *exchange, probeErr error) {
 	now := t.f.deps.Telemetry.Clock.Now()
-	if x.firstEventAt > 0 && now-x.firstEventAt >= survivalTime {
-		return
-	}
-	err := x.server.probe(ctx, t.f.deps.Telemetry.Clock.Now)
-	if err == nil {
+	if probeErr == nil || x.firstEventAt > 0 && now-x.firstEventAt >= survivalTime {
 		return
 	}
 	report := quarantiner.CrashReport{Server: x.server.Name, Incarnation: x.server.Incarnation, Request: t.digest(), Parts: t.sharedParts()}
 	t.f.deps.Telemetry.Counter("requests.crash-suspects").Inc(1)
 	t.f.deps.Telemetry.Log.Warn("backend server went down under a request", "request", t.ID, "server", x.server.Name,
-		"progress", x.progress(), "shared-parts", t.sharedPartIDs(), "error", err)
+		"progress", x.progress(), "shared-parts", t.sharedPartIDs(), "error", probeErr)
 	if added := t.f.AddCrashReports([]quarantiner.CrashReport{report}); len(added) > 0 {
 		t.f.deps.OnCrash(added)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -43,6 +43,8 @@
 	lastEventAt  timer.Millis
 	gaps         []float64
 	paceRecorded bool
+	// isDetour is true if the connection leads through another instance.
+	isDetour bool
 	// loadAtSend is the number of requests at the server when the request was sent.
 	loadAtSend int
 	// survived is true once the answer has gone on for survivalTime.
@@ -152,7 +154,7 @@
 // begin registers the attempt at its server.
 func (t *task) begin(ctx context.Context, x *exchange, c *exchanger.Conn) {
 	s := x.server
-	x.conn = c
+	x.conn, x.isDetour = c, c.IsDetour()
 	s.inFlight.Add(1)
 	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
 	x.prefill = x.pendingPrefill
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -50,13 +51,9 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	if err != nil {
 		t.mayHaveRun = true
-		t.recordServerFailure(x.server, now)
-		t.recordBrokenConn(x.server, now)
 		t.f.deps.Telemetry.Log.Warn("answer is incomplete or invalid", "request", t.ID, "server", x.server.Name,
 			"error", err)
-		if ctx.Err() == nil {
-			t.recordCrash(ctx, x)
-		}
+		t.recordBrokenAttempt(ctx, x, now)
 		return !t.canRetry(), t.badGatewayRefusal("the backend server's answer broke off")
 	}
 	defer body.Free()
@@ -145,14 +142,14 @@
 		t.failedDials++
 		if ctx.Err() == nil {
 			x.server.recordFailure(now, false)
-			t.f.reportAlarm(x.server, now, errors.Is(x.err, syscall.ECONNREFUSED))
+			if !errors.Is(x.err, pathfinder.ErrUnconfirmed) {
+				t.f.reportAlarm(x.server, now, errors.Is(x.err, syscall.ECONNREFUSED))
+			}
 		}
 	case attemptUnknown:
 		t.mayHaveRun = true
 		if ctx.Err() == nil {
-			t.recordServerFailure(x.server, now)
-			t.recordBrokenConn(x.server, now)
-			t.recordCrash(ctx, x)
+			t.recordBrokenAttempt(ctx, x, now)
 		}
 	}
 	if ctx.Err() != nil {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -130,12 +130,10 @@
 	if ctx.Err() != nil || errors.Is(err, errCallerLeft) {
 		return true, t.timeoutRefusal()
 	}
-	t.recordServerFailure(x.server, now)
-	t.recordBrokenConn(x.server, now)
 	t.f.deps.Telemetry.Log.Info("stream broke", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
 		"last-event", t.LastEventID, "error", err, "after-ms", int64(now-x.sentAt), "progress", x.progress(),
 		"shared-parts", t.sharedPartIDs())
-	t.recordCrash(ctx, x)
+	t.recordBrokenAttempt(ctx, x, now)
 	if t.canRetry() {
 		return false, nil
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -125,7 +125,8 @@
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
 		return nil, err
 	}
-	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: telemetry, Dial: dial, IsServer: e.forwarder.IsServer, IsCutOff: e.paths.IsCutOff})
+	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: telemetry, Dial: dial, IsServer: e.forwarder.IsServer, ReachesAnother: e.paths.ReachesAnother,
+		IsCutOff: e.paths.IsCutOff})
 	if settings.Listen.Tunnels != "" {
 		if e.tunnelListener, err = e.listen(settings.Listen.Tunnels, e.tunnels); err != nil {
 			return nil, err
--- a/internal/launcher/partition_test.go
+++ b/internal/launcher/partition_test.go
@@ -135,6 +135,13 @@
 	for _, addr := range f.addrs {
 		f.waitForStatus(http.StatusOK, http.MethodGet, "http://"+addr+"/read/x", "")
 	}
+	for _, e := range f.entries {
+		for deadline := time.Now().Add(15 * time.Second); e.telemetry.Gauge("gateways.known").Value() < 2; time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("an instance does not know the others")
+			}
+		}
+	}
 	return f
 }
 
--- a/internal/pathfinder/dial.go
+++ b/internal/pathfinder/dial.go
@@ -25,8 +25,13 @@
 	detourTokenInterval = 40 * timer.Millisecond
 )
 
-// ErrNoPath is the error of a server that is reached neither directly nor through a gateway.
-var ErrNoPath = errors.New("no way to the backend server")
+var (
+	// ErrNoPath is the error of a server that is reached neither directly nor through a gateway.
+	ErrNoPath = errors.New("no way to the backend server")
+	// ErrUnconfirmed is the error of a server that is not reached, while no gateway has said that it does not reach it either.
+	// The fault may be that of this instance.
+	ErrUnconfirmed = errors.New("not confirmed by a gateway")
+)
 
 // attempt is the outcome of one way to a server; gateway is nil for the direct one.
 type attempt struct {
@@ -177,28 +182,28 @@
 // failure returns the error of a race without a winner. It wraps syscall.ECONNREFUSED only if a gateway was refused too, or if
 // there is none to ask: an instance may be refused by a fault on its own way.
 func (r *race) failure(ctxErr error) error {
-	asked, refused := r.started, false
+	var confirmed, refused bool
 	text := ""
 	for _, f := range r.failures {
-		if f.gateway == nil {
-			asked--
-		}
+		confirmed = confirmed || hasAnswered(f.err)
 		refused = refused || errors.Is(f.err, tunneler.ErrRefused)
 		text += "; " + f.err.Error()
 	}
+	if ctxErr != nil {
+		text += "; " + ctxErr.Error()
+	}
+	if r.started > 1 && !errors.Is(ctxErr, context.Canceled) {
+		r.markFruitless()
+	}
 	switch {
 	case len(r.ways) == 1 && len(r.failures) == 1:
 		return r.failures[0].err
 	case refused:
-		r.markFruitless()
 		return fmt.Errorf("%w%s: %w", ErrNoPath, text, syscall.ECONNREFUSED)
-	case asked > 0 && !errors.Is(ctxErr, context.Canceled):
-		r.markFruitless()
-	}
-	if ctxErr != nil {
-		return fmt.Errorf("%w%s: %w", ErrNoPath, text, ctxErr)
+	case confirmed || len(r.ways) == 1:
+		return fmt.Errorf("%w%s", ErrNoPath, text)
 	}
-	return fmt.Errorf("%w%s", ErrNoPath, text)
+	return fmt.Errorf("%w, %w%s", ErrNoPath, ErrUnconfirmed, text)
 }
 
 // markFruitless keeps the next connections to the server from asking gateways again.
--- a/internal/pathfinder/gateways.go
+++ b/internal/pathfinder/gateways.go
@@ -37,6 +37,7 @@
 		gateways = append(gateways, &gateway{Gateway: r})
 	}
 	p.gateways = gateways
+	p.deps.Telemetry.Gauge("gateways.known").Update(int64(len(gateways)))
 }
 
 // chooseGateways returns up to two instances to reach a server in the given data centre through. The first one has the
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -21,6 +21,10 @@
 	// probeTimeout the time that each may take.
 	probeInterval = 400 * timer.Millisecond
 	probeTimeout  = 250 * timer.Millisecond
+	// serversTried is the number of servers by which this instance finds out whether it reaches any, and reachTimeout the time
+	// that it takes for that.
+	serversTried = 2
+	reachTimeout = 60 * timer.Millisecond
 )
 
 // Deps are the dependencies of a pathfinder.
@@ -205,6 +209,43 @@
 	return true
 }
 
+// ReachesAnother reports whether this instance reaches a server other than the given one directly. Without that, its failure to
+// reach the given one says nothing.
+func (p *Pathfinder) ReachesAnother(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	known, others := len(p.direct)+len(p.detours), []exchanger.Endpoint{}
+	for a, e := range p.direct {
+		if a != address && len(others) < serversTried {
+			others = append(others, e)
+		}
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout.Duration())
+	defer cancel()
+	reached := make(chan bool, len(others))
+	for _, e := range others {
+		go func() { reached <- p.connectsTo(ctx, e) }()
+	}
+	for range others {
+		if <-reached {
+			return true
+		}
+	}
+	return known <= 1
+}
+
+// connectsTo opens and closes a direct connection, and reports whether that succeeded.
+func (p *Pathfinder) connectsTo(ctx context.Context, e exchanger.Endpoint) bool {
+	conn, err := p.deps.Dial(ctx, e.Address)
+	if err != nil {
+		p.deps.Telemetry.Log.Debug("backend server is not reached directly", "address", e.Address, "error", err)
+		return false
+	}
+	_ = conn.Close()
+	p.recordDirect(e)
+	return true
+}
+
 // loop probes the direct way while there are detours.
 func (p *Pathfinder) loop() error {
 	ctx := p.tomb.Context(context.Background())
@@ -245,11 +286,5 @@
 func (p *Pathfinder) probe(ctx context.Context, e exchanger.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
-	conn, err := p.deps.Dial(ctx, e.Address)
-	if err != nil {
-		p.deps.Telemetry.Log.Debug("backend server is not reached directly yet", "address", e.Address, "error", err)
-		return
-	}
-	_ = conn.Close()
-	p.recordDirect(e)
+	p.connectsTo(ctx, e)
 }
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -93,7 +93,8 @@
 	var relays []messenger.Gateway
 	for i := range gateways {
 		h := tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), Dial: n.dialElsewhere,
-			IsServer: func(string) bool { return true }, IsCutOff: func() bool { return false }})
+			IsServer: func(string) bool { return true }, IsCutOff: func() bool { return false },
+			ReachesAnother: func(context.Context, string) bool { return true }})
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
 		relays = append(relays, messenger.Gateway{Address: server.Listener.Addr().String(), DataCentre: []string{"a", "b"}[i%2]})
@@ -179,7 +180,7 @@
 	p, n, list := newTestPathfinder(t, true, 1, 1)
 	n.set(n.cut, list, true)
 	p.gateways[0].Address = list[0].Address // The gateway cannot be asked.
-	if err := dial(p, list[0]); err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+	if err := dial(p, list[0]); !errors.Is(err, ErrUnconfirmed) || errors.Is(err, syscall.ECONNREFUSED) {
 		t.Fatalf("got %v, want an error that does not blame the server", err)
 	}
 }
@@ -267,3 +268,30 @@
 		t.Fatal("the instance is cut off from servers that are gone")
 	}
 }
+
+// Guards against an instance that is cut off without knowing and confirms to another one that servers are down.
+func TestReachesAnother(t *testing.T) {
+	tests := map[string]struct {
+		known, cut int
+		want       bool
+	}{
+		"knows only this server":    {1, 1, true},
+		"reaches the other servers": {3, 1, true},
+		"reaches one of the others": {3, 2, true},
+		"reaches no server":         {3, 3, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, n, list := newTestPathfinder(t, false, tt.known, 1)
+			for _, e := range list {
+				if err := dial(p, e); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n.set(n.cut, list[:tt.cut], true)
+			if got := p.ReachesAnother(context.Background(), list[0].Address); got != tt.want {
+				t.Fatalf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/subscriber/gateways.go
+++ b/internal/subscriber/gateways.go
@@ -9,6 +9,9 @@
 // the direct way is cut.
 const gatewayRequestInterval = 2 * timer.Second
 
+// firstGatewayRequestInterval is the time between requests while none is known.
+const firstGatewayRequestInterval = 500 * timer.Millisecond
+
 // SetGateway sets the address at which this instance relays the connections of others, and tells the control instances; an
 // empty one means that it relays none.
 func (s *Subscriber) SetGateway(address string) {
@@ -37,7 +40,11 @@
 
 // refreshGateways asks for gateways if the last answer is old.
 func (s *Subscriber) refreshGateways() {
-	if s.deps.Telemetry.Clock.Now()-s.gatewaysRequestedAt >= gatewayRequestInterval {
+	interval := gatewayRequestInterval
+	if !s.knowsGateways {
+		interval = firstGatewayRequestInterval
+	}
+	if s.deps.Telemetry.Clock.Now()-s.gatewaysRequestedAt >= interval {
 		s.requestGateways()
 	}
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -110,6 +110,7 @@
 	gateway atomic.Pointer[string]
 	// gatewaysRequestedAt is the time of the last request for gateways.
 	gatewaysRequestedAt timer.Millis
+	knowsGateways       bool
 	// hasReportedRates means that the last report on request limits was not empty.
 	hasReportedRates bool
 	// hasReportedPrefill means that the last report on waiting prefill was not empty.
@@ -319,6 +320,7 @@
 		s.deps.SuspendServers(p.ServerAlarms)
 	}
 	if len(p.Gateways) > 0 {
+		s.knowsGateways = true
 		s.deps.SetGateways(p.Gateways)
 	}
 	if p.HasRateReports {
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -18,7 +18,7 @@
 	// MaxTunnels bounds the tunnels that an instance relays at once: each one takes two descriptors and about 30 KB.
 	MaxTunnels = 512
 	// connectTimeout bounds the connection to the server. The instance that asks does not wait for longer.
-	connectTimeout = 150 * timer.Millisecond
+	connectTimeout = 120 * timer.Millisecond
 	// peerTimeout is the silence of the other instance's machine after which a tunnel is probed, peerProbes times in the same
 	// time again; without an answer, the tunnel ends.
 	peerTimeout = 3 * time.Second
@@ -34,6 +34,9 @@
 	Dial func(context.Context, string) (net.Conn, error)
 	// IsServer reports whether an address is that of a known backend server; no other address is connected to.
 	IsServer func(string) bool
+	// ReachesAnother reports whether this instance reaches another server than the given one. Only then does it tell others that
+	// the server is out of reach.
+	ReachesAnother func(context.Context, string) bool
 	// IsCutOff reports whether this instance does not reach the servers itself.
 	IsCutOff func() bool
 }
@@ -112,10 +115,7 @@
 	defer cancel()
 	server, err := h.deps.Dial(ctx, r.Host)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			w.Header().Set(headerFailure, failureRefused)
-		}
-		http.Error(w, err.Error(), http.StatusBadGateway)
+		h.writeFailure(w, r, err)
 		return nil, err
 	}
 	peer, buffered, err := http.NewResponseController(w).Hijack()
@@ -135,6 +135,18 @@
 	return t, nil
 }
 
+// writeFailure tells the other instance that the server is out of reach, or that this instance cannot say so.
+func (h *Handler) writeFailure(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusServiceUnavailable
+	if h.deps.ReachesAnother(r.Context(), r.Host) {
+		status = http.StatusBadGateway
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		w.Header().Set(headerFailure, failureRefused)
+	}
+	http.Error(w, err.Error(), status)
+}
+
 // Drain refuses new tunnels and waits until the open ones have ended or the context ends, then closes them.
 func (h *Handler) Drain(ctx context.Context) {
 	h.mu.Lock()
@@ -221,6 +233,10 @@
 		if err == nil {
 			continue
 		}
+		if errors.Is(err, net.ErrClosed) {
+			// This instance has ended the tunnel, which says nothing of the server.
+			return
+		}
 		last := frameReset
 		if err == io.EOF {
 			last = frameEnd
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -42,7 +42,8 @@
 func startGateway(t *testing.T, server string) (*Handler, string) {
 	t.Helper()
 	h := NewHandler(HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), Dial: dialTCP,
-		IsServer: func(address string) bool { return address == server }, IsCutOff: func() bool { return false }})
+		IsServer: func(address string) bool { return address == server }, IsCutOff: func() bool { return false },
+		ReachesAnother: func(context.Context, string) bool { return true }})
 	gateway := httptest.NewServer(h)
 	t.Cleanup(gateway.Close)
 	return h, gateway.Listener.Addr().String()
@@ -131,6 +132,7 @@
 		"unknown address":    {"127.0.0.1:1", func(*Handler) {}, ErrUnwilling},
 		"server is down":     {server, func(*Handler) {}, ErrRefused},
 		"server is dark":     {server, func(h *Handler) { h.deps.Dial = dialNever }, ErrUnreachable},
+		"reaches no other":   {server, func(h *Handler) { h.deps.ReachesAnother = func(context.Context, string) bool { return false } }, ErrUnwilling},
 		"cut off itself":     {server, func(h *Handler) { h.deps.IsCutOff = func() bool { return true } }, ErrUnwilling},
 		"stops":              {server, drainAtOnce, ErrUnwilling},
 		"too many tunnels":   {server, func(h *Handler) { h.opening = MaxTunnels }, ErrUnwilling},
