Spare servers that fall over when they must refuse requests

Cause: each instance finds out by refusals of its own that a server is full, and comes back after 60 ms; the refusals of all instances add up. Class: a bound on the sum of what all instances do, with nothing that they share.

Change: the ration of a server, which already divides request limits, decides about places of brittle servers too. Nothing waits there, each instance takes a part of the free places that is its part of the demand, and the first refusal closes the server to all instances for 0.4 to 1.2 s, told through the nearest control instance. A fall is no crash evidence against its requests.

Evidence: TestBrittleServersDoNotFallOver, imitated servers over TCP in seven patterns.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -42,6 +42,10 @@
 	// number per second.
 	HasRateLimit bool
 	RateLimit    float64
+	// IsBrittle is true if the server falls over when it must refuse more than MaxRefusals requests per second of all instances
+	// together for want of room.
+	IsBrittle   bool
+	MaxRefusals float64
 	// Confidence is the model's confidence in the response, from 0 to 100; -1 if it is not given.
 	Confidence int
 	// KeepAliveTimeout is the server's keep-alive timeout, in milliseconds; 0 if it is not given.
--- a/internal/forwarder/alarms.go
+++ b/internal/forwarder/alarms.go
@@ -34,7 +34,14 @@
 	now := f.deps.Telemetry.Clock.Now()
 	for _, a := range alarms {
 		s := f.serversByName[a.Server]
-		if s == nil || s.Incarnation != a.Incarnation || now-timer.Millis(s.lastByte.Load()) < alarmImmunity {
+		if s == nil || s.Incarnation != a.Incarnation {
+			continue
+		}
+		if a.Full {
+			s.ration.RecordFull(now)
+			continue
+		}
+		if now-timer.Millis(s.lastByte.Load()) < alarmImmunity {
 			continue
 		}
 		s.suspendUntil(now + alarmSuspension)
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -115,7 +115,7 @@
 		}
 		slots := max(1, s.Slots)
 		load := s.load(now)
-		if load >= t.maxLoad(slots) {
+		if load >= t.maxLoad(slots) || !s.ration.HasRoom(now, s.occupancy(load, now)) {
 			continue
 		}
 		rank := -1
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -138,6 +138,9 @@
 		err := x.res.Discard()
 		x.release(err == nil)
 		x.server.recordRefusal(now, status)
+		if status == http.StatusServiceUnavailable {
+			t.recordFull(x.server, now)
+		}
 	case attemptNotSent:
 		t.failedDials++
 		if ctx.Err() == nil {
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -18,6 +19,23 @@
 	}
 }
 
+// recordBrittleness stores whether a response says that its server falls over when it must refuse many requests.
+func (t *task) recordBrittleness(s *server, info exchanger.Info, now timer.Millis) {
+	if s.ration.ObserveBrittle(info.MaxRefusals, info.IsBrittle, now) {
+		t.f.deps.Telemetry.Log.Info("backend server changes how many refusals it bears", "server", s.Name, "brittle", info.IsBrittle,
+			"per-second", info.MaxRefusals, "request", t.ID)
+	}
+}
+
+// recordFull records that a server had no room, and tells the other instances if it is brittle: each of them would otherwise
+// find out by a refusal of its own.
+func (t *task) recordFull(s *server, now timer.Millis) {
+	if s.ration.RecordFull(now) {
+		t.f.deps.Telemetry.Counter("servers.full-brittle").Inc(1)
+		t.f.deps.OnServerAlarm(messenger.ServerAlarm{Server: s.Name, Incarnation: s.Incarnation, Full: true})
+	}
+}
+
 // admittedServer returns the cheapest server that takes the request within its request limit, nil if there is none.
 func (t *task) admittedServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
 	for {
@@ -70,6 +88,7 @@
 				continue
 			}
 			s.ration.SetOthersDemand(r.DemandUnits)
+			s.ration.ObserveBrittle(r.MaxRefusals, r.Brittle, now-max(0, r.Age))
 			s.ration.Observe(r.Limit, r.Limited, now-max(0, r.Age))
 		}
 	}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -101,6 +101,14 @@
 	return own + max(0, others)
 }
 
+// occupancy returns what is known about the server's places.
+func (s *server) occupancy(load int, now timer.Millis) rationer.Occupancy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rationer.Occupancy{Slots: max(1, s.Slots), Load: load, Own: int(s.inFlight.Load()),
+		Reported: s.reportedAt > 0 && now-s.reportedAt <= 2*loadReportMaxAge}
+}
+
 // updateLoad stores the load that a response reports.
 func (s *server) updateLoad(info exchanger.Info, now timer.Millis) {
 	if info.Slots == 0 {
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -121,13 +121,19 @@
 // announceInterval is the time between two announcements of a backend server.
 const announceInterval = 500 * time.Millisecond
 
-// announce announces a backend server of the service desk until stop is called.
+// announce announces a backend server of the service desk with many slots until stop is called.
 func (d *deployment) announce(name, address, dataCentre string) (stop func()) {
+	d.t.Helper()
+	return d.announceSlots(name, address, dataCentre, 100)
+}
+
+// announceSlots announces a backend server of the service desk until stop is called.
+func (d *deployment) announceSlots(name, address, dataCentre string, slots int) (stop func()) {
 	d.t.Helper()
 	put := func(seq int, wait func(url, body string)) {
 		wait(fmt.Sprintf("http://%s/instances/%s", d.controlAddrs[seq%len(d.controlAddrs)], name),
-			fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":100,"state":"ready","seq":%d,"born":1}`,
-				address, dataCentre, seq))
+			fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","seq":%d,"born":1}`,
+				address, dataCentre, slots, seq))
 	}
 	put(1, func(url, body string) { d.waitForStatus(http.StatusOK, http.MethodPut, url, body) })
 	done := make(chan struct{})
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -148,6 +148,8 @@
 	Server      string `cbor:"1,keyasint"`
 	Incarnation int64  `cbor:"2,keyasint"`
 	Refused     bool   `cbor:"3,keyasint,omitempty"`
+	// Full means that the server is brittle and had no room for a request: no instance should send it any for a while.
+	Full bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Call is a request to the leader of the record; exactly one field besides ID is set.
--- a/internal/rationer/board.go
+++ b/internal/rationer/board.go
@@ -55,6 +55,7 @@
 			total, known := byServer[id]
 			if age := max(0, now-e.statedAt); !known || age < total.Age {
 				total.Server, total.Incarnation, total.Limit, total.Limited, total.Age = id.server, id.incarnation, e.Limit, e.Limited, age
+				total.Brittle, total.MaxRefusals = e.Brittle, e.MaxRefusals
 			}
 			total.DemandUnits += e.DemandUnits
 			byServer[id] = total
--- a/internal/rationer/ration.go
+++ b/internal/rationer/ration.go
@@ -35,6 +35,10 @@
 	Age timer.Millis `cbor:"5,keyasint,omitempty"`
 	// DemandUnits is the rate of the requests for which the server was the first choice, in demandUnit.
 	DemandUnits int `cbor:"6,keyasint,omitempty"`
+	// MaxRefusals is the number of requests per second that the server may have to refuse for want of room before it falls over;
+	// only if Brittle is true.
+	MaxRefusals float64 `cbor:"7,keyasint,omitempty"`
+	Brittle     bool    `cbor:"8,keyasint,omitempty"`
 }
 
 // Ration decides which requests of this instance a backend server gets while it limits its rate. Each instance sends the
@@ -44,13 +48,24 @@
 	mu      sync.Mutex
 	limited bool
 	limit   float64
-	// statedAt is when the server last stated its limit, or that it has none; limitedAt when it last stated a limit.
+	// statedAt is when the server last stated its limit, or that it has none; limitedAt when it last stated a limit or that it is brittle.
 	statedAt, limitedAt timer.Millis
 	// demand is the estimate at demandAt, in requests per second.
 	demand   float64
 	demandAt timer.Millis
 	// others is the demand of the other instances, in requests per second.
 	others float64
+	// brittle is true if the server falls over when it must refuse more than maxRefusals requests per second.
+	brittle     bool
+	maxRefusals float64
+	// pausedUntil is until when the server gets no request because it was full.
+	pausedUntil timer.Millis
+	// admitted is the number of requests admitted since admittedSince.
+	admitted      int
+	admittedSince timer.Millis
+	// drawn is a random number from 0 to 1 that holds from drawnAt for placeDraw.
+	drawn   float64
+	drawnAt timer.Millis
 	// credit is the part of a request that may be sent beyond the whole ones.
 	credit float64
 }
@@ -88,6 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.demand, r.demandAt = r.demandNow(now)+float64(timer.Second)/float64(demandWindow), now
+	r.countAdmitted(now)
 	if !r.limited {
 		return true
 	}
@@ -123,15 +139,16 @@
 	return max(minLimit, limitHeadroom*r.limit)
 }
 
-// Report returns the report on a server, and false if there is nothing to tell: it has no limit and had none lately.
+// Report returns the report on a server, and false if there is nothing to tell: it has no limit, is not brittle, and neither was so
+// lately.
 func (r *Ration) Report(server string, incarnation int64, now timer.Millis) (Report, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.limited && (r.limitedAt == 0 || now-r.limitedAt > reportAfterEnd) {
+	if !r.limited && !r.brittle && (r.limitedAt == 0 || now-r.limitedAt > reportAfterEnd) {
 		return Report{}, false
 	}
 	return Report{Server: server, Incarnation: incarnation, Limit: r.limit, Limited: r.limited, Age: now - r.statedAt,
-		DemandUnits: int(r.demandNow(now) / demandUnit)}, true
+		DemandUnits: int(r.demandNow(now) / demandUnit), Brittle: r.brittle, MaxRefusals: r.maxRefusals}, true
 }
 
 // demandNow returns the estimate of the demand: each request counts less the longer ago it was.
--- a/internal/steward/alarms.go
+++ b/internal/steward/alarms.go
@@ -13,6 +13,8 @@
 	alarmBatchDelay = 5 * timer.Millisecond
 	// alarmRepeatInterval is the time between two messages about the same server.
 	alarmRepeatInterval = 500 * timer.Millisecond
+	// fullRepeatInterval is the time between two messages that the same brittle server is full.
+	fullRepeatInterval = 100 * timer.Millisecond
 	// alarmWindow is how long the alarm of one entry instance counts.
 	alarmWindow = 2 * timer.Second
 	// minAlarmReporters is the number of entry instances that must have raised an alarm about a server that accepts
@@ -25,8 +27,8 @@
 	incarnation int64
 	// reportedAt is the time of the last alarm of each entry instance.
 	reportedAt map[string]timer.Millis
-	// forwardedAt is when the entry instances were last told.
-	forwardedAt timer.Millis
+	// forwardedAt is when the entry instances were last told, and fullForwardedAt when they were told that it is full.
+	forwardedAt, fullForwardedAt timer.Millis
 }
 
 // alarmBoard decides which alarms about backend servers concern the whole fleet.
@@ -45,12 +47,20 @@
 	for _, a := range alarms {
 		s := b.byServer[a.Server]
 		if s == nil || s.incarnation < a.Incarnation {
-			s = &serverAlarms{incarnation: a.Incarnation, reportedAt: map[string]timer.Millis{}, forwardedAt: now - alarmRepeatInterval}
+			s = &serverAlarms{incarnation: a.Incarnation, reportedAt: map[string]timer.Millis{}, forwardedAt: now - alarmRepeatInterval,
+				fullForwardedAt: now - fullRepeatInterval}
 			b.byServer[a.Server] = s
 		}
 		if s.incarnation > a.Incarnation {
 			continue
 		}
+		if a.Full {
+			if now-s.fullForwardedAt >= fullRepeatInterval {
+				s.fullForwardedAt = now
+				b.pending = append(b.pending, a)
+			}
+			continue
+		}
 		s.reportedAt[reporter] = now
 		s.expire(now)
 		if (a.Refused || len(s.reportedAt) >= minAlarmReporters) && now-s.forwardedAt >= alarmRepeatInterval {
@@ -72,7 +82,7 @@
 func (b *alarmBoard) expire(now timer.Millis) {
 	maps.DeleteFunc(b.byServer, func(_ string, s *serverAlarms) bool {
 		s.expire(now)
-		return len(s.reportedAt) == 0
+		return len(s.reportedAt) == 0 && now-s.fullForwardedAt >= fullRepeatInterval
 	})
 }
 
@@ -91,6 +101,10 @@
 func (s *Steward) sendAlarms() {
 	list := s.alarms.take()
 	for _, a := range list {
+		if a.Full {
+			s.deps.Telemetry.Log.Info("brittle backend server is full", "server", a.Server)
+			continue
+		}
 		s.deps.Telemetry.Log.Info("backend server fails", "server", a.Server, "refused", a.Refused,
 			"reporters", slices.Sorted(maps.Keys(s.alarms.byServer[a.Server].reportedAt)))
 	}
