Pass on only events in streams, and only later ones after a resumption

Cause: a stream that broke off goes on with whatever the next server answers with a 2xx status: a page with blank lines passed for events. In a stream that ends with its connection, text after the last event passed for events too. Class: bytes passed on by their framing alone, not by what they are.

Change: lines that are neither comments nor fields end a stream as broken, after the events before them. A server that goes on with a stream must answer with an event stream whose events have ids, and ids that are numbers increase.

Evidence: TestStreamThatGoesOnTakesOnlyItsEvents and TestHeadWithinStreamIsNotPassedOn fail before in all 13 and 2 cases: error text in five cases, a head in three, events twice or without an id in the others; they pass now.

Ruled out: statuses from 300 on as a continuation, which were broken off before.

--- a/internal/exchanger/events.go
+++ b/internal/exchanger/events.go
@@ -75,11 +75,15 @@
 		return nil
 	}
 	events := b[:start+length]
+	if valid := validEventsLen(events); valid < len(events) {
+		e.err = ErrNoEvents
+		events = events[:valid]
+	}
 	if hasEvent(events) {
 		e.hasEvents = true
 		e.lastEventAt = e.res.conn.source.now()
 	}
-	if !e.hasEvents {
+	if !e.hasEvents || len(events) == 0 {
 		return nil
 	}
 	e.returned = len(events)
--- a/internal/exchanger/limits.go
+++ b/internal/exchanger/limits.go
@@ -40,6 +40,8 @@
 	ErrEncoded = errors.New("the response has a content encoding")
 	// ErrTwoHeads is returned when a response that was cut off in its head runs into the next one.
 	ErrTwoHeads = errors.New("two heads ran into each other")
+	// ErrNoEvents is returned when a stream carries lines that are no events, such as the text of an error.
+	ErrNoEvents = errors.New("the stream carries lines that are no events")
 	// ErrSwitched is returned when a server switches protocols unasked.
 	ErrSwitched = errors.New("the server switched protocols")
 )
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
@@ -99,8 +100,9 @@
 // relayStream sends the events of one attempt to the caller; done means that no other attempt is needed.
 func (t *task) relayStream(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
-	if x.res.StatusCode >= http.StatusMultipleChoices {
-		if t.writer.status == 0 {
+	isContinuation := t.writer.status != 0
+	if x.res.StatusCode >= http.StatusMultipleChoices || isContinuation && !isEventStream(x.res.Response) {
+		if !isContinuation {
 			return t.relayPlain(ctx, x)
 		}
 		t.mayHaveRun = true
@@ -116,7 +118,7 @@
 		t.f.recordFirstByte(t, x, t.f.deps.Telemetry.Clock.Now()-x.sentAt)
 		return false, nil
 	}
-	err := t.relayEvents(x)
+	err := t.relayEvents(x, isContinuation)
 	now := t.f.deps.Telemetry.Clock.Now()
 	if err == nil {
 		x.release(true)
@@ -140,11 +142,20 @@
 	return true, t.badGatewayRefusal("the backend server's stream broke off")
 }
 
+// isEventStream reports whether a response announces events.
+func isEventStream(res *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// errNoContinuation is the error of a server that was to go on with a stream and sent other events.
+var errNoContinuation = errors.New("the events do not continue the stream")
+
 var errCallerLeft = errors.New("the caller closed its connection")
 
 // relayEvents sends each event to the caller as soon as it is complete; it returns nil at the regular end of the
-// stream.
-func (t *task) relayEvents(x *exchange) error {
+// stream. The events of a continuation must follow those that the caller has.
+func (t *task) relayEvents(x *exchange, isContinuation bool) error {
 	reader := x.res.Events(t.eventWait())
 	defer reader.Free()
 	for first := true; ; first = false {
@@ -157,6 +168,9 @@
 		}
 		now := t.f.deps.Telemetry.Clock.Now()
 		x.server.lastByte.Store(int64(now))
+		if isContinuation && !exchanger.ContinueStream(t.LastEventID, events) {
+			return errNoContinuation
+		}
 		if first {
 			x.firstEventAt = now
 			t.f.recordFirstByte(t, x, now-x.sentAt)
