Report the prefill of others as often as instances do in a test

Cause, in the test: it reports the prefill of other instances once. A report counts for 900 ms, and the server answers 900 ms after the request. When its answer is a little late, the check at 900 ms finds an empty queue at the other server and moves the prompt, as it should. Instances report every 150 ms.

Change: the test reports every 150 ms until the answer is there. It checks what it checked before.

--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -229,6 +230,34 @@
 	}
 }
 
+// reportOthersPrefill reports the prefill of other instances at all servers until stop is called, as often as they do: a report
+// counts for less than a second.
+func (e *testEnv) reportOthersPrefill(millis float64) (stop func()) {
+	const reportInterval = 150 * time.Millisecond
+	report := func() {
+		for _, s := range e.f.serversByName {
+			s.prefillQueue.setOthers([]float64{millis}, e.f.deps.Telemetry.Clock.Now())
+		}
+	}
+	report()
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(reportInterval):
+				report()
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
 // Guards against treating a server as dead while a prompt waits behind prompts of other instances and the server
 // responds to no other request of this instance.
 func TestQueuedPromptDoesNotMakeServerLookDead(t *testing.T) {
@@ -237,9 +266,8 @@
 		return write(w, streamHead(r.Header.Get("Id"), "")) && write(w, chunk(event(1))) && write(w, streamEnd)
 	}
 	env := newTestEnv(t, streamRoute(true), map[string]*fakeServer{"s1": {respond: respond}, "s2": {respond: respond}})
-	for _, s := range env.f.serversByName {
-		s.prefillQueue.setOthers([]float64{800}, env.f.deps.Telemetry.Clock.Now())
-	}
+	stop := env.reportOthersPrefill(800)
+	defer stop()
 	rec, broken := env.serve(Request{PromptTokens: 300})
 	if broken || rec.Body.String() != event(1) || env.sentRequests() != 1 {
 		t.Fatalf("broken off %t, got %q, sent %d requests, want one", broken, rec.Body, env.sentRequests())
