Take a refusal without an id on a kept connection for no proof

Cause: an answer with another id was rejected, one without an id believed.

Change: a refusal without an id proves something on a new connection only. The imitated servers name the id in their refusals.

Evidence: TestLateCopyOfRefusalProvesNothing, without an id, failed before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -124,8 +124,8 @@
 // Send makes one attempt; it fails with a *SendError.
 func (d *Dispatcher) Send(ctx context.Context, call Call) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var connected atomic.Bool
-	req, err := newRequest(withConnectionTrace(ctx, &connected), call)
+	var connected, reused atomic.Bool
+	req, err := newRequest(withConnectionTrace(ctx, &connected, &reused), call)
 	if err != nil {
 		cancel(err)
 		return nil, &SendError{Ran: receiver.RanNo, Err: err}
@@ -140,21 +140,31 @@
 		return nil, &SendError{Ran: ranIfFailed(connected.Load()), Err: err}
 	}
 	body := newStallBody(res.Body, d.stallTimeout, cancel)
-	if id := res.Header.Get(receiver.HeaderRequestID); id != "" && id != call.RequestID {
+	id := res.Header.Get(receiver.HeaderRequestID)
+	if id != "" && id != call.RequestID {
 		// The transport takes whatever comes first on a reused connection for the answer.
 		err := fmt.Errorf("the answer belongs to request %s", id)
 		return nil, errors.Join(&SendError{Ran: receiver.RanUnknown, Err: err}, body.Close())
 	}
 	if err := checkRan(res); err != nil {
-		return nil, errors.Join(&SendError{Ran: receiver.RanNo, Err: err}, body.Close())
+		ran := receiver.RanNo
+		if id == "" && reused.Load() {
+			// It may be a late copy of an earlier refusal.
+			ran = receiver.RanUnknown
+		}
+		return nil, errors.Join(&SendError{Ran: ran, Err: err}, body.Close())
 	}
 	return &Response{Status: res.StatusCode, Header: res.Header, Body: body, RecordProgress: body.progress}, nil
 }
 
-// withConnectionTrace sets connected once the call has a connection; without one, no byte was sent.
-func withConnectionTrace(ctx context.Context, connected *atomic.Bool) context.Context {
+// withConnectionTrace sets connected once the call has a connection, without which no byte was sent, and reused if the
+// connection has carried other calls.
+func withConnectionTrace(ctx context.Context, connected, reused *atomic.Bool) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 }
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -100,3 +102,64 @@
 		})
 	}
 }
+
+// Guards against an earlier refusal that a server sends once more on a kept connection and that is taken for the answer to the
+// next call, which the server runs.
+func TestLateCopyOfRefusalProvesNothing(t *testing.T) {
+	tests := map[string]struct {
+		// id is the id that the refusals bear.
+		id string
+	}{
+		"without an id":       {""},
+		"with the earlier id": {"first"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			header := ""
+			if tt.id != "" {
+				header = receiver.HeaderRequestID + ": " + tt.id + "\r\n"
+			}
+			refusal := "HTTP/1.1 503 Service Unavailable\r\n" + header + receiver.HeaderRan + ": no\r\nContent-Length: 0\r\n\r\n"
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go answerEach(l, refusal)
+			d := NewDispatcher(timer.Second)
+			defer d.Close()
+			for _, call := range []struct {
+				id  string
+				ran receiver.Ran
+			}{{"first", receiver.RanNo}, {"second", receiver.RanUnknown}} {
+				_, err := d.Send(context.Background(), Call{Address: l.Addr().String(), RequestID: call.id, Method: http.MethodPost, Path: "/"})
+				var sendErr *SendError
+				if !errors.As(err, &sendErr) || sendErr.Ran != call.ran {
+					t.Fatalf("the %s call got %v, want that it has run: %s", call.id, err, call.ran)
+				}
+			}
+		})
+	}
+}
+
+// answerEach answers each request on one connection of the listener with the same text.
+func answerEach(l net.Listener, text string) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -3,8 +3,8 @@
 import (
 	"io"
 	"net/http"
-	"sync"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -79,11 +79,11 @@
 	}
 	req := parseCompletion(r, body)
 	if !slices.Contains(e.cfg.Host.Announcement.EngineNames, req.engineName) {
-		refuse(w, "version "+req.engineName+" is not loaded")
+		refuse(w, r, "version "+req.engineName+" is not loaded")
 		return
 	}
 	if e.actionBefore(req.requestID, 0) == ActionRefuse {
-		refuse(w, "no free slot")
+		refuse(w, r, "no free slot")
 		return
 	}
 	e.recordRun(r, req.engineName)
--- a/internal/imitator/host.go
+++ b/internal/imitator/host.go
@@ -235,8 +235,10 @@
 	panic(http.ErrAbortHandler)
 }
 
-// refuse answers 503 and reports in the header that the request did not run.
-func refuse(w http.ResponseWriter, reason string) {
+// refuse answers 503 and reports in the header that the request did not run. The id shows that this is no copy of an earlier
+// refusal.
+func refuse(w http.ResponseWriter, r *http.Request, reason string) {
+	w.Header().Set(receiver.HeaderRequestID, r.Header.Get(receiver.HeaderRequestID))
 	w.Header().Set(receiver.HeaderRan, string(receiver.RanNo))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
--- a/internal/imitator/service.go
+++ b/internal/imitator/service.go
@@ -62,7 +62,7 @@
 	}
 	switch s.actionFor(r, true) {
 	case ActionRefuse:
-		refuse(w, "closing")
+		refuse(w, r, "closing")
 		return
 	case ActionDisconnect, ActionCrash:
 		breakConnection()
@@ -90,7 +90,7 @@
 func (s *Service) handleLookUp(w http.ResponseWriter, r *http.Request) {
 	switch s.actionFor(r, true) {
 	case ActionRefuse:
-		refuse(w, "closing")
+		refuse(w, r, "closing")
 		return
 	case ActionDisconnect, ActionCrash:
 		breakConnection()
