Wait for crash reports in a test before the later instance starts

Cause, in the test: it starts an instance while the reports of the crashes are still on their way to the control instances, and expects it to know what these do not know yet.

Change: the test waits until all three control instances have received both reports, by a new counter. It checks what it checked before.

--- a/internal/launcher/crashes_test.go
+++ b/internal/launcher/crashes_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/reserver"
 )
@@ -43,6 +44,13 @@
 	if status, _ := call(http.MethodGet, "http://"+d.callersAddr+"/a/poison", ""); status != http.StatusBadGateway || poisoned.Load() != 2 {
 		t.Fatalf("got %d after %d crashes, want 502 after two attempts", status, poisoned.Load())
 	}
+	// The reports of both crashes are on their way to the three control instances, which share their metrics.
+	received := d.control[0].telemetry.Counter("crash-reports.received")
+	for deadline := time.Now().Add(10 * time.Second); received.Count() < 2*3; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the control instances have received %d crash reports, want two each", received.Count())
+		}
+	}
 	ports, err := reserver.ReservePorts(2)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/steward/evidence.go
+++ b/internal/steward/evidence.go
@@ -11,6 +11,7 @@
 	now := s.deps.Telemetry.Clock.Now()
 	before := s.evidence.Blocked()
 	added := messenger.Packet{CrashReports: s.evidence.AddReports(p.CrashReports, now), Acquittals: s.evidence.AddAcquittals(p.Acquittals, now)}
+	s.deps.Telemetry.Counter("crash-reports.received").Inc(int64(len(added.CrashReports)))
 	if len(added.CrashReports) > 0 || len(added.Acquittals) > 0 {
 		s.sendToAll(added)
 	}
