--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -61,6 +62,7 @@
 	subscriber *subscriber.Subscriber
 	forwarder  *forwarder.Forwarder
 	paths      *pathfinder.Pathfinder
+	pathMu     sync.Mutex
 	// tunnels relays the connections of other entry instances; tunnelListener is nil if this one relays none.
 	tunnels        *tunneler.Handler
 	tunnelListener *listener
@@ -248,6 +250,9 @@
 // handlePathChange offers to relay the connections of others only while this instance reaches servers itself.
 func (e *Entry) handlePathChange() {
 	e.forwarder.HandlePathChange()
+	// The last of several changes at once decides.
+	e.pathMu.Lock()
+	defer e.pathMu.Unlock()
 	if e.paths.IsCutOff() || e.stopping.Load() {
 		e.subscriber.SetGateway("")
 		return
