--- a/internal/launcher/brittle_test.go
+++ b/internal/launcher/brittle_test.go
@@ -155,23 +155,7 @@
 		t.Cleanup(d.announceSlots(fmt.Sprint("i-", i), server.Listener.Addr().String(), "a", tt.slots))
 		list = append(list, s)
 	}
-	addrs := []string{d.callersAddr}
-	for n := 1; n < tt.entries; n++ {
-		ports, err := reserver.ReservePorts(2)
-		if err != nil {
-			t.Fatal(err)
-		}
-		addrs = append(addrs, fmt.Sprintf("127.0.0.1:%d", ports[0]))
-		e := d.startEntry(fmt.Sprint("b", n), addrs[n], fmt.Sprintf("127.0.0.1:%d", ports[1]))
-		t.Cleanup(func() {
-			if err := e.Stop(); err != nil {
-				t.Error(err)
-			}
-		})
-	}
-	for _, addr := range addrs {
-		d.waitForStatus(http.StatusOK, http.MethodGet, "http://"+addr+"/read/x", "")
-	}
+	addrs := tt.startEntries(t, d)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, addr := range addrs {
@@ -219,6 +203,29 @@
 	}
 }
 
+// startEntries starts further entry instances and returns the addresses of all for callers.
+func (tt brittlePattern) startEntries(t *testing.T, d *deployment) []string {
+	t.Helper()
+	addrs := []string{d.callersAddr}
+	for n := 1; n < tt.entries; n++ {
+		ports, err := reserver.ReservePorts(2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, fmt.Sprintf("127.0.0.1:%d", ports[0]))
+		e := d.startEntry(fmt.Sprint("b", n), addrs[n], fmt.Sprintf("127.0.0.1:%d", ports[1]))
+		t.Cleanup(func() {
+			if err := e.Stop(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for _, addr := range addrs {
+		d.waitForStatus(http.StatusOK, http.MethodGet, "http://"+addr+"/read/x", "")
+	}
+	return addrs
+}
+
 // setBrittle makes the server say that it is brittle; it lets the given number of requests wait.
 func (s *brittleServer) setBrittle(queue int) {
 	s.mu.Lock()
