--- a/review/standin/deadly.go
+++ b/review/standin/deadly.go
@@ -26,13 +26,13 @@
 	// crashDown is how long a runner is away after a crash.
 	crashDown = 3 * time.Second
 	// soundGap is the time between two sound requests, deadlyGap between two with the deadly part.
-	soundGap  = 100 * time.Millisecond
-	deadlyGap = 500 * time.Millisecond
+	soundGap  = 20 * time.Millisecond
+	deadlyGap = 450 * time.Millisecond
 	// deadlyRunners is the number of runners.
 	deadlyRunners = 3
 	// Times from the start of traffic.
 	troubleAt = 15 * time.Second
-	trafficIs = 60 * time.Second
+	trafficIs = 45 * time.Second
 	// minEach is the number of sound requests that the rule wants of each kind.
 	minEach = 20
 )
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -125,6 +126,22 @@
 	return os.WriteFile(i.settings, []byte(out), 0o600)
 }
 
+// started are the processes that this program has started.
+var started struct {
+	sync.Mutex
+	processes []*os.Process
+}
+
+// killStarted ends all processes that this program has started.
+func killStarted() {
+	started.Lock()
+	defer started.Unlock()
+	for _, p := range started.processes {
+		// An error means that the process has ended already.
+		_ = p.Kill()
+	}
+}
+
 // start runs the command of the deploy file with the settings of the instance.
 func (f *fleet) start(i *instance, bootstrap bool) error {
 	if err := errors.Join(f.render(i, bootstrap), os.MkdirAll(i.data, 0o700)); err != nil {
@@ -140,6 +157,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	started.Lock()
+	started.processes = append(started.processes, cmd.Process)
+	started.Unlock()
 	i.cmd, i.exited = cmd, make(chan struct{})
 	f.rec.printf("process %s starts on %s, pid %d", i.name, i.host, cmd.Process.Pid)
 	go f.runWait(i, cmd, i.exited)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // verdict is the result of a case.
@@ -48,6 +51,7 @@
 		return exitFailed
 	}
 	defer rec.close()
+	go runWatch(rec)
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.say("case %s, trouble %v", name, trouble)
 	v, err := play(rec, trouble)
@@ -62,3 +66,20 @@
 	rec.say("held: %s", v.text)
 	return exitHeld
 }
+
+// maxRun is how long a case may run.
+const maxRun = 115 * time.Second
+
+// runWatch ends all processes of the case when it is interrupted or runs for too long.
+func runWatch(rec *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case s := <-signals:
+		rec.say("the case is interrupted: %s", s)
+	case <-time.After(maxRun):
+		rec.say("the case takes longer than %s", maxRun)
+	}
+	killStarted()
+	os.Exit(exitFailed)
+}
