Read and log the time that backend servers ask to be left alone

A server that asks is logged with the time, and counted (servers.resting). Nothing is held back yet.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -46,6 +46,10 @@
 	// together for want of room.
 	IsBrittle   bool
 	MaxRefusals float64
+	// Rest is how long the server asks this instance to send it nothing, in milliseconds; 0 if it does not ask. InvalidRest is
+	// what it asked for if that cannot be understood.
+	Rest        timer.Millis
+	InvalidRest string
 	// Confidence is the model's confidence in the response, from 0 to 100; -1 if it is not given.
 	Confidence int
 	// KeepAliveTimeout is the server's keep-alive timeout, in milliseconds; 0 if it is not given.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -135,8 +135,7 @@
 		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
 	}
 	s.updateLoad(res.Info, now)
-	t.recordBrittleness(s, res.Info, now)
-	t.recordRateLimit(s, res.Info, now)
+	t.recordTerms(s, res.Info, now)
 	t.confidence = res.Info.Confidence
 	if res.Info.NotRun {
 		return x, attemptNotRun
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"strconv"
+
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
@@ -11,6 +13,20 @@
 // requests.
 const rationRetryInterval = 250 * timer.Millisecond
 
+// recordTerms stores what a response says about the requests that its server takes.
+func (t *task) recordTerms(s *server, info exchanger.Info, now timer.Millis) {
+	t.recordBrittleness(s, info, now)
+	t.recordRateLimit(s, info, now)
+	if info.InvalidRest != "" {
+		t.f.deps.Telemetry.Log.Warn("backend server asks to be left alone for a time that is not understood", "server", s.Name,
+			"time", strconv.Quote(info.InvalidRest), "request", t.ID)
+	}
+	if info.Rest > 0 && s.ration.Rest(now+info.Rest) {
+		t.f.deps.Telemetry.Counter("servers.resting").Inc(1)
+		t.f.deps.Telemetry.Log.Info("backend server asks to be left alone", "server", s.Name, "for-ms", int64(info.Rest), "request", t.ID)
+	}
+}
+
 // recordRateLimit stores the limit that a response names.
 func (t *task) recordRateLimit(s *server, info exchanger.Info, now timer.Millis) {
 	if s.ration.Observe(info.RateLimit, info.HasRateLimit, now) {
--- a/internal/rationer/ration.go
+++ b/internal/rationer/ration.go
@@ -58,6 +58,8 @@
 	// brittle is true if the server falls over when it must refuse more than maxRefusals requests per second.
 	brittle     bool
 	maxRefusals float64
+	// restsUntil is the time before which the server asked to get nothing; 0 if it has not asked.
+	restsUntil timer.Millis
 	// pausedUntil is until when the server gets no request because it was full.
 	pausedUntil timer.Millis
 	// placeShare is the part of the slots that all instances use at placeShareAt while the server does not tell its load.
