Send nothing to a backend server before the time that it asks for has passed

Callers saw refusals and late answers: a server that answers 503 with Retry-After was left out for 60 ms, and asked again by each request until then (hypothesis 1). The cause is a statement of a server about its own load that was not an input of the one decision which may hold requests back. Its relatives were the request limit and brittle servers, which came one by one.

Now the ration of a server, which decided about limits and places, decides about rests too, for all that is sent: first attempts, retries, second opinions, continuations, moves of prompts, and the choice of a suspended server when there is no other one. It is asked once more after the connection has been opened. The longest time holds, since answers overtake each other. After it, the requests of an instance return over a second. If all servers rest, a request waits for the end if it can be answered before its deadline and no more wait than the servers have slots; else it is refused at once with the time to come back. A request waits for one rest only.

Ruled out: a rest is no fault in outlier rates, alarms and roll-outs (test), and it ends with its server's incarnation. Not kept: a strict order among the requests that wait.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -25,7 +25,8 @@
 	attemptNotRun
 	// attemptUnknown: the request was sent and no usable response arrived.
 	attemptUnknown
-	// attemptOutdated: the process stood still before the request was sent, so the choice of the server may be outdated.
+	// attemptOutdated: before the request was sent, the process stood still or the server asked to be left alone, so the choice of
+	// the server is outdated.
 	attemptOutdated
 	// attemptResponded: the status line and header of a response have arrived.
 	attemptResponded
@@ -109,7 +110,8 @@
 			return x, attemptNotSent
 		}
 	}
-	if t.f.deps.AwaitCurrent(ctx) {
+	// The connection may have taken a while to open, in which another answer has arrived.
+	if t.f.deps.AwaitCurrent(ctx) || t.f.deps.Telemetry.Clock.Now() < s.ration.RestsUntil() {
 		s.pool.Put(c)
 		return x, attemptOutdated
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -71,6 +71,8 @@
 	sessions          *sessions
 	versionOutcomes   *versionOutcomes
 	firstByteAverages sync.Map
+	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
+	restWaiters sync.Map
 	// paces holds the paceWindow of each paceKey.
 	paces            sync.Map
 	evidence         *quarantiner.Evidence
@@ -169,6 +171,10 @@
 	// declined are the servers that had no place for the request within their request limit, the last one at declinedAt.
 	declined   map[string]bool
 	declinedAt timer.Millis
+	// awaitsRest is true while the request counts in awaitingRest. awaitsRestUntil is the end of the rest that it waits or has
+	// waited for.
+	awaitsRest      bool
+	awaitsRestUntil timer.Millis
 	// reserved is the server that has admitted the next attempt already.
 	reserved *server
 	// attempts counts the servers that got the request, and failedDials those that accepted no connection.
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -106,6 +106,9 @@
 			if c, err := strconv.Atoi(res.Header.Get("Confidence")); err == nil {
 				info.Confidence = c
 			}
+			if rest, err := strconv.Atoi(res.Header.Get("Rest-Ms")); err == nil {
+				info.Rest = timer.Millis(rest)
+			}
 			if limit, err := strconv.ParseFloat(res.Header.Get("Limit"), 64); err == nil {
 				info.HasRateLimit, info.RateLimit = true, limit
 			}
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -43,6 +44,7 @@
 		return nil, &Refusal{Status: http.StatusUnauthorized, Reason: "the key was revoked"}
 	}
 	waitUntil := t.ArrivedAt + max(t.route.TargetLatency*slotWaitPercent/100, slotPollInterval)
+	defer t.stopAwaitingRest()
 	for {
 		now := t.f.deps.Telemetry.Clock.Now()
 		s, reason := t.pickServer(now)
@@ -53,8 +55,9 @@
 			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
 			return s, nil
 		}
-		if t.writer.status == 0 && now > waitUntil || now >= t.deadline {
-			return nil, t.noServerRefusal(reason)
+		opensAt := t.restsUntil(now)
+		if t.writer.status == 0 && now > max(waitUntil, opensAt, t.awaitsRestUntil+rationer.ReturnSpan) || now >= t.deadline || !t.canAwait(opensAt) {
+			return nil, t.noServerRefusal(reason).withRetryAfter(opensAt - now)
 		}
 		if err := t.f.deps.Telemetry.Clock.Sleep(ctx, slotPollInterval); err != nil {
 			return nil, t.timeoutRefusal()
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -61,8 +61,10 @@
 	took := now - x.sentAt
 	if x.res.StatusCode >= http.StatusInternalServerError {
 		t.mayHaveRun = true
-		t.recordServerFailure(x.server, now)
-		t.recordBadResponse(x.server)
+		if x.res.Info.Rest == 0 {
+			t.recordServerFailure(x.server, now)
+			t.recordBadResponse(x.server)
+		}
 		t.f.deps.Telemetry.Log.Info("server error", "request", t.ID, "server", x.server.Name, "version", x.server.Version,
 			"attempt", t.attempts, "status", x.res.StatusCode, "took-ms", int64(took), "retried", t.canRetry())
 		if t.canRetry() {
--- a/internal/rationer/brittle.go
+++ b/internal/rationer/brittle.go
@@ -70,12 +70,15 @@
 	return !wasPaused
 }
 
-// HasRoom reports whether a server is not brittle, or will have room for another request. Each instance takes a part of the free
+// HasRoom reports whether a server does not rest, and is not brittle or will have room for another request. Each instance takes a part of the free
 // places that is its part of the demand, since it does not see yet what the others send. Where the server does not tell its
 // load, all of its places are divided so.
 func (r *Ration) HasRoom(now timer.Millis, o Occupancy) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isResting(now, o) {
+		return false
+	}
 	if !r.brittle {
 		return true
 	}
