Log what an instance knew of a brittle server that refused its request

Each refusal of a brittle server is logged now with what was known when the request was sent: whether the server was known to be brittle, for how long it was known, its load and the age of that, the demand here and elsewhere; counter servers.refused-brittle.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,6 +46,8 @@
 	paceRecorded bool
 	// isDetour is true if the connection leads through another instance.
 	isDetour bool
+	// knowledge is what this instance knew of the server when the request was sent.
+	knowledge serverKnowledge
 	// loadAtSend is the number of requests at the server when the request was sent.
 	loadAtSend int
 	// survived is true once the answer has gone on for survivalTime.
@@ -122,6 +124,7 @@
 		Header: t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))}
 	x.sentAt = t.f.deps.Telemetry.Clock.Now()
 	x.loadAtSend = s.load(x.sentAt)
+	x.knowledge = s.knowledge(x.sentAt)
 	if err := c.Write(req); err != nil {
 		return t.abortAttempt(x, err)
 	}
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -61,7 +61,8 @@
 			old.pool.SetClosed(true)
 		}
 		s := newServer(m, f.exchange)
-		s.warmUntil = f.deps.Telemetry.Clock.Now() + m.WarmUp
+		s.knownSince = f.deps.Telemetry.Clock.Now()
+		s.warmUntil = s.knownSince + m.WarmUp
 		return s
 	}
 	if old.State == m.State && old.Version == m.Version && old.Slots == m.Slots && old.Service == m.Service {
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -141,7 +141,7 @@
 		x.release(err == nil)
 		x.server.recordRefusal(now, status)
 		if status == http.StatusServiceUnavailable {
-			t.recordFull(x.server, now)
+			t.recordFull(x, now)
 		}
 	case attemptNotSent:
 		t.failedDials++
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -45,7 +45,15 @@
 
 // recordFull records that a server had no room, and tells the other instances if it is brittle: each of them would otherwise
 // find out by a refusal of its own.
-func (t *task) recordFull(s *server, now timer.Millis) {
+func (t *task) recordFull(x *exchange, now timer.Millis) {
+	s := x.server
+	if s.ration.IsBrittle() {
+		t.f.deps.Telemetry.Counter("servers.refused-brittle").Inc(1)
+		k := x.knowledge
+		t.f.deps.Telemetry.Log.Info("brittle backend server refused a request", "server", s.Name, "request", t.ID, "known-brittle", k.brittle,
+			"known-for-ms", int64(k.knownFor), "load", k.occupancy.Load, "own", k.occupancy.Own, "slots", k.occupancy.Slots,
+			"told", k.occupancy.Told, "told-age-ms", int64(k.occupancy.ToldAge), "demand", k.demand, "others", k.othersDemand)
+	}
 	if s.ration.RecordFull(now) {
 		t.f.deps.Telemetry.Counter("servers.full-brittle").Inc(1)
 		t.f.deps.OnServerAlarm(messenger.ServerAlarm{Server: s.Name, Incarnation: s.Incarnation, Full: true})
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -53,6 +53,8 @@
 	alarmedAt atomic.Int64
 	// onPace and offPace count the answers at the usual pace and the slow ones during roll-outs.
 	onPace, offPace atomic.Int64
+	// knownSince is when this instance learned of the server, in milliseconds.
+	knownSince timer.Millis
 	// warmUntil is when the server has warmed up after its start, in milliseconds.
 	warmUntil timer.Millis
 	// incidentAt is the start of the last incident of broken connections, in milliseconds.
@@ -109,6 +111,22 @@
 		Told: s.reportedAt > 0 && now-s.reportedAt <= 2*loadReportMaxAge, ToldAge: now - s.reportedAt}
 }
 
+// serverKnowledge is what this instance knows about the places of a server at one time, for logs.
+type serverKnowledge struct {
+	brittle bool
+	// knownFor is the time since this instance learned of the server, in milliseconds.
+	knownFor  timer.Millis
+	occupancy rationer.Occupancy
+	// demand and othersDemand are the requests per second for which the server is the first choice, here and elsewhere.
+	demand, othersDemand float64
+}
+
+func (s *server) knowledge(now timer.Millis) serverKnowledge {
+	k := serverKnowledge{brittle: s.ration.IsBrittle(), knownFor: now - s.knownSince, occupancy: s.occupancy(s.load(now), now)}
+	k.demand, k.othersDemand = s.ration.Demand(now)
+	return k
+}
+
 // updateLoad stores the load that a response reports.
 func (s *server) updateLoad(info exchanger.Info, now timer.Millis) {
 	if info.Slots == 0 {
--- a/internal/rationer/ration.go
+++ b/internal/rationer/ration.go
@@ -96,6 +96,13 @@
 	return changed
 }
 
+// Demand returns the demand of this instance and of the others, in requests per second.
+func (r *Ration) Demand(now timer.Millis) (own, others float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.demandNow(now), r.others
+}
+
 // SetOthersDemand stores the demand of the other instances, in demandUnit.
 func (r *Ration) SetOthersDemand(units int) {
 	r.mu.Lock()
