Take a server that has not answered yet for as brittle as its service

Callers saw requests break off since servers fell over again as soon as they were back. One that started anew counted as sound until its first answer, was empty and so the cheapest for every instance, and got up to three times its slots from each.

Now the statement belongs to the service until a server has made its own, and what other instances have reported is applied to servers that become known later, which an instance that has just started needs.

--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -54,7 +54,7 @@
 // the answer had gone on for a while. A brittle server falls over by itself.
 func (t *task) recordCrash(x *exchange, probeErr error) {
 	now := t.f.deps.Telemetry.Clock.Now()
-	if probeErr == nil || x.server.ration.IsBrittle() || x.firstEventAt > 0 && now-x.firstEventAt >= survivalTime {
+	if probeErr == nil || x.server.ration.IsBrittle(now) || x.firstEventAt > 0 && now-x.firstEventAt >= survivalTime {
 		return
 	}
 	report := quarantiner.CrashReport{Server: x.server.Name, Incarnation: x.server.Incarnation, Request: t.digest(), Parts: t.sharedParts()}
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
 )
@@ -45,6 +46,7 @@
 		slices.SortFunc(list, func(a, b *server) int { return int(a.Incarnation - b.Incarnation) })
 	}
 	f.fleetView.Store(view)
+	f.applyOthersRates()
 	f.deps.Paths.Retain(view.addresses)
 	if view.Policy != old.Policy {
 		f.resetRouteStats()
@@ -60,7 +62,7 @@
 		if old != nil {
 			old.pool.SetClosed(true)
 		}
-		s := newServer(m, f.exchange)
+		s := newServer(m, f.serviceOf(m), f.exchange)
 		s.knownSince = f.deps.Telemetry.Clock.Now()
 		s.warmUntil = s.knownSince + m.WarmUp
 		return s
@@ -71,6 +73,14 @@
 	return old.withMember(m)
 }
 
+// serviceOf returns what is known of the servers of a member's service.
+func (f *Forwarder) serviceOf(m registrar.Member) *rationer.Service {
+	if f.services[m.Service] == nil {
+		f.services[m.Service] = &rationer.Service{}
+	}
+	return f.services[m.Service]
+}
+
 // versionSplit divides the servers of a service that may receive work into those of the roll-out's target version and
 // the others.
 type versionSplit struct {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -67,6 +68,8 @@
 	exchange          exchanger.Deps
 	fleetView         atomic.Pointer[fleetView]
 	serversByName     map[string]*server
+	services          map[string]*rationer.Service
+	othersRates       othersRates
 	retryBudget       *retryBudget
 	sessions          *sessions
 	versionOutcomes   *versionOutcomes
@@ -89,7 +92,7 @@
 // NewForwarder returns a forwarder without a policy.
 func NewForwarder(deps Deps) *Forwarder {
 	f := &Forwarder{
-		deps: deps, serversByName: map[string]*server{}, retryBudget: newRetryBudget(deps.Config, deps.Telemetry.Clock.Now),
+		deps: deps, serversByName: map[string]*server{}, services: map[string]*rationer.Service{}, retryBudget: newRetryBudget(deps.Config, deps.Telemetry.Clock.Now),
 		sessions: newSessions(deps.Config.SessionTTL), versionOutcomes: newVersionOutcomes(), evidence: quarantiner.NewEvidence(),
 		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
--- a/internal/forwarder/rate_limit_test.go
+++ b/internal/forwarder/rate_limit_test.go
@@ -87,3 +87,21 @@
 		t.Fatal("no request was refused")
 	}
 }
+
+// Guards against an instance that has just started and takes a brittle server for a sound one, since the report of the others
+// arrives before the server is known.
+func TestReportsOfOthersHoldForServersThatAreKnownLater(t *testing.T) {
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s1": {respond: replyDone}, "s2": {respond: replyDone}})
+	members := env.members
+	env.members = nil
+	env.publishView()
+	env.f.SetOthersRates([]rationer.Report{{Server: "s1", Incarnation: 1, Brittle: true, MaxRefusals: 3}})
+	env.members = members
+	env.publishView()
+	now := env.f.deps.Telemetry.Clock.Now()
+	for _, name := range []string{"s1", "s2"} {
+		if !env.f.serversByName[name].ration.IsBrittle(now) {
+			t.Errorf("server %s of a service with a brittle server counts as sound", name)
+		}
+	}
+}
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -47,7 +47,7 @@
 // find out by a refusal of its own.
 func (t *task) recordFull(x *exchange, now timer.Millis) {
 	s := x.server
-	if s.ration.IsBrittle() {
+	if s.ration.IsBrittle(now) {
 		t.f.deps.Telemetry.Counter("servers.refused-brittle").Inc(1)
 		k := x.knowledge
 		t.f.deps.Telemetry.Log.Info("brittle backend server refused a request", "server", s.Name, "request", t.ID, "known-brittle", k.brittle,
@@ -97,11 +97,24 @@
 	return list
 }
 
-// SetOthersRates stores what the other instances know of the servers that limit their requests.
+// othersRates is the last report of the other instances.
+type othersRates struct {
+	reports    []rationer.Report
+	receivedAt timer.Millis
+}
+
+// SetOthersRates stores what the other instances know of the servers that limit their requests; it is called by the goroutine
+// that calls SetView.
 func (f *Forwarder) SetOthersRates(list []rationer.Report) {
-	now := f.deps.Telemetry.Clock.Now()
+	f.othersRates = othersRates{reports: list, receivedAt: f.deps.Telemetry.Clock.Now()}
+	f.applyOthersRates()
+}
+
+// applyOthersRates applies the last report of the other instances to the servers that are known. The first one arrives before an
+// instance that has just started knows any.
+func (f *Forwarder) applyOthersRates() {
 	byName := map[string]rationer.Report{}
-	for _, r := range list {
+	for _, r := range f.othersRates.reports {
 		byName[r.Server] = r
 	}
 	for _, servers := range f.fleetView.Load().servers {
@@ -111,9 +124,10 @@
 				s.ration.SetOthersDemand(0)
 				continue
 			}
+			statedAt := f.othersRates.receivedAt - max(0, r.Age)
 			s.ration.SetOthersDemand(r.DemandUnits)
-			s.ration.ObserveBrittle(r.MaxRefusals, r.Brittle, now-max(0, r.Age))
-			s.ration.Observe(r.Limit, r.Limited, now-max(0, r.Age))
+			s.ration.ObserveBrittle(r.MaxRefusals, r.Brittle, statedAt)
+			s.ration.Observe(r.Limit, r.Limited, statedAt)
 		}
 	}
 }
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -76,9 +76,9 @@
 	relativeFirstByte movingAverage
 }
 
-func newServer(m registrar.Member, deps exchanger.Deps) *server {
+func newServer(m registrar.Member, service *rationer.Service, deps exchanger.Deps) *server {
 	return &server{Member: m, serverState: &serverState{nameHash: xxhash.Sum64String(m.Name),
-		pool: exchanger.NewPool(deps, exchanger.Endpoint{Address: m.Address, DataCentre: m.DataCentre}), ration: rationer.NewRation()}}
+		pool: exchanger.NewPool(deps, exchanger.Endpoint{Address: m.Address, DataCentre: m.DataCentre}), ration: service.NewRation()}}
 }
 
 // endpoint returns where the server is reached.
@@ -122,7 +122,7 @@
 }
 
 func (s *server) knowledge(now timer.Millis) serverKnowledge {
-	k := serverKnowledge{brittle: s.ration.IsBrittle(), knownFor: now - s.knownSince, occupancy: s.occupancy(s.load(now), now)}
+	k := serverKnowledge{brittle: s.ration.IsBrittle(now), knownFor: now - s.knownSince, occupancy: s.occupancy(s.load(now), now)}
 	k.demand, k.othersDemand = s.ration.Demand(now)
 	return k
 }
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -125,7 +126,7 @@
 }
 
 func TestServerIsSuspendedAfterConsecutiveFailures(t *testing.T) {
-	s := newServer(registrar.Member{Name: "s"}, exchanger.Deps{})
+	s := newServer(registrar.Member{Name: "s"}, &rationer.Service{}, exchanger.Deps{})
 	s.recordFailure(0, true)
 	if suspended, _ := s.availability(1); suspended {
 		t.Fatal("one failure suspended the server")
--- a/internal/rationer/brittle.go
+++ b/internal/rationer/brittle.go
@@ -42,24 +42,33 @@
 	}
 	changed := r.brittle != brittle || brittle && r.maxRefusals != maxRefusals
 	r.brittle, r.maxRefusals = brittle, maxRefusals
+	r.service.observe(maxRefusals, brittle, statedAt)
 	if brittle {
 		r.limitedAt = statedAt
 	}
 	return changed
 }
 
-// IsBrittle reports whether the server falls over when it must refuse many requests.
-func (r *Ration) IsBrittle() bool {
+// IsBrittle reports whether the server falls over when it must refuse many requests, as far as it or its service is known.
+func (r *Ration) IsBrittle(now timer.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.brittle
+	return r.isBrittle(now)
+}
+
+func (r *Ration) isBrittle(now timer.Millis) bool {
+	if r.statedAt > 0 {
+		return r.brittle
+	}
+	_, brittle := r.service.terms(now)
+	return brittle
 }
 
 // RecordFull records that a server had no room for a request of any instance, and reports whether the others must know.
 func (r *Ration) RecordFull(now timer.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.brittle {
+	if !r.isBrittle(now) {
 		return false
 	}
 	wasPaused := now < r.pausedUntil
@@ -79,7 +88,7 @@
 	if r.isResting(now, o) {
 		return false
 	}
-	if !r.brittle {
+	if !r.isBrittle(now) {
 		return true
 	}
 	if now < r.pausedUntil {
--- a/internal/rationer/ration.go
+++ b/internal/rationer/ration.go
@@ -55,6 +55,8 @@
 	demandAt timer.Millis
 	// others is the demand of the other instances, in requests per second.
 	others float64
+	// service is what is known of the other servers, which holds until this one has stated something itself.
+	service *Service
 	// brittle is true if the server falls over when it must refuse more than maxRefusals requests per second.
 	brittle     bool
 	maxRefusals float64
@@ -75,10 +77,10 @@
 	credit float64
 }
 
-// NewRation returns the ration of a server that has not stated a limit.
+// NewRation returns the ration of a server that has not stated a limit, and is the only one of its service.
 func NewRation() *Ration {
 	// Instances that start together must not send their first requests together.
-	return &Ration{credit: rand.Float64(), placeShare: maxPlaceShare}
+	return &Ration{service: &Service{}, credit: rand.Float64(), placeShare: maxPlaceShare}
 }
 
 // Observe stores what the server stated with an answer and reports whether that differs from what held before.
