Let the parts of a brittle server's places add up to the whole

Each instance counted its own demand as at least one request a second, and that of the others as it is. With sixty instances, of which twenty have sent one request, the parts added up to 121.9 of 32 places, with three to 64. Now they add up to the whole: the others count with one request more as well, since reports tell how many instances there are. Test TestPartsOfPlacesAddUpToTheWhole, which fails on the code before with three and with sixty.

Still red: a server that has just started is reported by nobody, so the parts are not known there, and a part of a place is a chance and no place.

--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -121,11 +121,11 @@
 		for _, s := range servers {
 			r, ok := byName[s.Name]
 			if !ok || r.Incarnation != s.Incarnation {
-				s.ration.SetOthersDemand(0)
+				s.ration.SetOthersDemand(0, 0)
 				continue
 			}
 			statedAt := f.othersRates.receivedAt - max(0, r.Age)
-			s.ration.SetOthersDemand(r.DemandUnits)
+			s.ration.SetOthersDemand(r.DemandUnits, r.Instances)
 			s.ration.ObserveBrittle(r.MaxRefusals, r.Brittle, statedAt)
 			s.ration.Observe(r.Limit, r.Limited, statedAt)
 		}
--- a/internal/rationer/board.go
+++ b/internal/rationer/board.go
@@ -58,6 +58,7 @@
 				total.Brittle, total.MaxRefusals = e.Brittle, e.MaxRefusals
 			}
 			total.DemandUnits += e.DemandUnits
+			total.Instances++
 			byServer[id] = total
 		}
 	}
@@ -66,12 +67,15 @@
 	})
 }
 
-// WithoutOwn returns the totals without the demand of one instance.
+// WithoutOwn returns the totals without one instance.
 func (b *Board[R]) WithoutOwn(reporter R, totals []Report) []Report {
 	own := b.byReporter[reporter]
 	list := slices.Clone(totals)
 	for i, t := range list {
-		list[i].DemandUnits -= own[serverID{t.Server, t.Incarnation}].DemandUnits
+		if report, ok := own[serverID{t.Server, t.Incarnation}]; ok {
+			list[i].DemandUnits -= report.DemandUnits
+			list[i].Instances--
+		}
 	}
 	return list
 }
--- a/internal/rationer/brittle.go
+++ b/internal/rationer/brittle.go
@@ -132,8 +132,10 @@
 	r.admitted++
 }
 
-// demandShare returns the part of the demand of all instances that is this one's.
+// demandShare returns the part of the demand of all instances that is this one's. Each instance counts with one request more
+// than it has: the parts of those that have none yet must not add up to more than the whole.
 func (r *Ration) demandShare(now timer.Millis) float64 {
-	own := r.demandNow(now) + float64(timer.Second)/float64(demandWindow)
-	return own / (own + r.others)
+	const one = float64(timer.Second) / float64(demandWindow)
+	own, others := r.demandNow(now)+one, r.others+one*float64(r.othersCount)
+	return own / (own + others)
 }
--- a/internal/rationer/ration.go
+++ b/internal/rationer/ration.go
@@ -39,6 +39,8 @@
 	// only if Brittle is true.
 	MaxRefusals float64 `cbor:"7,keyasint,omitempty"`
 	Brittle     bool    `cbor:"8,keyasint,omitempty"`
+	// Instances is the number of instances that have reported the server, if several have; 0 in the report of one instance.
+	Instances int `cbor:"9,keyasint,omitempty"`
 }
 
 // Ration decides which requests of this instance a backend server gets while it limits its rate. Each instance sends the
@@ -53,8 +55,9 @@
 	// demand is the estimate at demandAt, in requests per second.
 	demand   float64
 	demandAt timer.Millis
-	// others is the demand of the other instances, in requests per second.
-	others float64
+	// others is the demand of the other instances, in requests per second, and othersCount their number.
+	others      float64
+	othersCount int
 	// service is what is known of the other servers, which holds until this one has stated something itself.
 	service *Service
 	// brittle is true if the server falls over when it must refuse more than maxRefusals requests per second.
@@ -105,11 +108,11 @@
 	return r.demandNow(now), r.others
 }
 
-// SetOthersDemand stores the demand of the other instances, in demandUnit.
-func (r *Ration) SetOthersDemand(units int) {
+// SetOthersDemand stores the demand of the other instances, in demandUnit, and their number.
+func (r *Ration) SetOthersDemand(units, instances int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.others = float64(max(0, units)) * demandUnit
+	r.others, r.othersCount = float64(max(0, units))*demandUnit, max(0, instances)
 }
 
 // Admit counts a request for which the server is the first choice and reports whether it may be sent there.
--- a/internal/rationer/ration_test.go
+++ b/internal/rationer/ration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -65,7 +66,7 @@
 		if now == sendTotalsAt {
 			for i, r := range f.rations {
 				for _, others := range f.board.WithoutOwn(i, totals) {
-					r.SetOthersDemand(others.DemandUnits)
+					r.SetOthersDemand(others.DemandUnits, others.Instances)
 					r.Observe(others.Limit, others.Limited, now-others.Age-reportDelay)
 				}
 			}
@@ -181,9 +182,9 @@
 			func(r *Ration) { r.Observe(1000, true, 3); r.Observe(1, true, 2) }, 50, 50,
 		},
 		"a limit of zero":            {func(r *Ration) { r.Observe(0, true, 1) }, 50, 0},
-		"others have all the demand": {func(r *Ration) { r.Observe(10, true, 1); r.SetOthersDemand(1_000_000) }, 50, 0},
+		"others have all the demand": {func(r *Ration) { r.Observe(10, true, 1); r.SetOthersDemand(1_000_000, 0) }, 50, 0},
 		"a negative demand of others counts as none": {
-			func(r *Ration) { r.Observe(1000, true, 1); r.SetOthersDemand(-500) }, 50, 50,
+			func(r *Ration) { r.Observe(1000, true, 1); r.SetOthersDemand(-500, 0) }, 50, 50,
 		},
 		"a place that is returned is used again": {
 			func(r *Ration) {
@@ -232,12 +233,48 @@
 	b.Set("b", []Report{{Server: "s", Incarnation: 1, Age: 100, DemandUnits: 30}, {Server: "t", Incarnation: 2, Limited: true, DemandUnits: 7}}, 1000)
 	totals := b.Totals(1000)
 	got := fmt.Sprintf("%+v", b.WithoutOwn("a", totals))
-	want := fmt.Sprintf("%+v", []Report{{Server: "s", Incarnation: 1, Age: 100, DemandUnits: 30}, {Server: "t", Incarnation: 2, Limited: true, DemandUnits: 7}})
+	want := fmt.Sprintf("%+v", []Report{{Server: "s", Incarnation: 1, Age: 100, DemandUnits: 30, Instances: 1},
+		{Server: "t", Incarnation: 2, Limited: true, DemandUnits: 7, Instances: 1}})
 	if got != want {
 		t.Fatalf("got %s, want %s", got, want)
 	}
 	b.Remove("b")
-	if list := b.WithoutOwn("a", b.Totals(1000)); len(list) != 1 || list[0].DemandUnits != 0 || list[0].Limit != 5 {
+	if list := b.WithoutOwn("a", b.Totals(1000)); len(list) != 1 || list[0].DemandUnits != 0 || list[0].Instances != 0 || list[0].Limit != 5 {
 		t.Fatalf("got %+v, want the statement of the instance itself", list)
 	}
 }
+
+// Guards against parts of a server's places that add up to more than all of them where many instances have little demand each.
+func TestPartsOfPlacesAddUpToTheWhole(t *testing.T) {
+	const (
+		now   = 1000 * timer.Second
+		slots = 32.0
+	)
+	for name, instances := range map[string]int{"one": 1, "three": 3, "sixty": 60} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBoard[int]()
+			var rations []*Ration
+			for i := range instances {
+				r := NewRation()
+				r.ObserveBrittle(3, true, now)
+				r.Observe(0, false, now)
+				// One instance in three has sent a request.
+				if i%3 == 0 {
+					r.Admit(now)
+				}
+				report, _ := r.Report("s", 1, now)
+				b.Set(i, []Report{report}, now)
+				rations = append(rations, r)
+			}
+			sum := 0.0
+			for i, r := range rations {
+				others := b.WithoutOwn(i, b.Totals(now))[0]
+				r.SetOthersDemand(others.DemandUnits, others.Instances)
+				sum += slots * r.demandShare(now)
+			}
+			if math.Abs(sum-slots) > 0.01*slots {
+				t.Fatalf("the parts of %d instances add up to %.1f places, the server has %.0f", instances, sum, slots)
+			}
+		})
+	}
+}
