Keep a ledger of a brittle server's places, in place of a guess by each instance

Callers saw refusals and broken requests while servers fell over by turns. Cause: each of many instances guessed its part of the free places by itself, from demand and load that were as old as its last answer; a part of a place was a chance of a request. No such guess holds for 58 instances before a server of six places, and where it holds, it left most places unused.

Now one control instance keeps the ledger of each brittle server, in the server's data centre if there is one (internal/allotter). Entry instances claim places for the requests that wait, and give them back when a request has ended; at most 15 of 16 slots are given away. A refusal lowers the level below what was in use, so memory or connections that run out before the slots bind too; the number of refusals that the server bears, which was only logged, now decides when nothing is given for a second. A new keeper collects claims for 300 ms first; the places of an instance that is gone come back after 2 s. Without an answer of a keeper within 300 ms (an old build, or none in reach) the estimate of before holds.

Not served: a second opinion of the cascade never waits for a place.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -60,6 +60,7 @@
 			return true
 		}
 		best.ration.Refund()
+		t.returnPlace(best)
 	}
 	t.model, t.tried = current, tried
 	t.logSkippedEscalation(x, "the delay at the larger model outweighs the low confidence", estimate)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -57,6 +57,8 @@
 	pendingPrefill float64
 	// prefill is the estimated prefill time of the prompt, in milliseconds.
 	prefill float64
+	// returnPlace gives the place at the server back; if the response is not complete, the server may go on for a while.
+	returnPlace func(complete bool)
 	// detachContext stops the context from closing the connection; it returns false if that has already happened.
 	detachContext func() bool
 	err           error
@@ -96,6 +98,7 @@
 		_ = x.conn.Close()
 	}
 	x.conn = nil
+	x.returnPlace(complete)
 }
 
 // send makes one attempt and reads the header of the response. If a reused connection breaks after the request was
@@ -109,12 +112,14 @@
 		var err error
 		if c, err = s.pool.Open(ctx, min(dialTimeout, t.deadline-now)); err != nil {
 			x.err = err
+			t.returnPlace(s)
 			return x, attemptNotSent
 		}
 	}
 	// The connection may have taken a while to open, in which another answer has arrived.
 	if t.f.deps.AwaitCurrent(ctx) || t.f.deps.Telemetry.Clock.Now() < s.ration.RestsUntil() {
 		s.pool.Put(c)
+		t.returnPlace(s)
 		return x, attemptOutdated
 	}
 	t.usedConns = append(t.usedConns, c)
@@ -168,6 +173,13 @@
 		t.f.deps.OnLongPrefill()
 	}
 	t.f.prefixTracker.recordSent(t.prefixKey(), s.Name, x.sentAt)
+	x.returnPlace = func(complete bool) {
+		if complete {
+			t.returnPlace(s)
+			return
+		}
+		s.places.ReturnLater(t.f.deps.Telemetry.Clock.Now() + abandonedWorkTime)
+	}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	AwaitCurrent func(context.Context) bool
 	// OnServerAlarm is called when a server fails in a way that concerns all instances; it must not block.
 	OnServerAlarm func(messenger.ServerAlarm)
+	// OnPlacesChanged is called when the claims for places of brittle servers have changed; it must not block.
+	OnPlacesChanged func()
 	// OnLongPrefill is called when a prompt with a long prefill is sent to a server.
 	OnLongPrefill func()
 }
@@ -76,6 +78,9 @@
 	firstByteAverages sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
+	// placeGranted is closed and replaced when places at brittle servers are granted.
+	placeMu      sync.Mutex
+	placeGranted chan struct{}
 	// paces holds the paceWindow of each paceKey.
 	paces            sync.Map
 	evidence         *quarantiner.Evidence
@@ -94,7 +99,7 @@
 	f := &Forwarder{
 		deps: deps, serversByName: map[string]*server{}, services: map[string]*rationer.Service{}, retryBudget: newRetryBudget(deps.Config, deps.Telemetry.Clock.Now),
 		sessions: newSessions(deps.Config.SessionTTL), versionOutcomes: newVersionOutcomes(), evidence: quarantiner.NewEvidence(),
-		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), prefixTracker: newPrefixTracker(),
+		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), placeGranted: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
 		firstByteLatency:   deps.Telemetry.Histogram("requests.first-byte-ms"),
 		exchange: exchanger.Deps{Now: deps.Telemetry.Clock.Now, Dial: deps.Paths.Dial, Limits: deps.Config.Answers,
@@ -178,6 +183,8 @@
 	// waited for.
 	awaitsRest      bool
 	awaitsRestUntil timer.Millis
+	// claimed are the brittle servers at which the request waits for a place.
+	claimed map[*server]bool
 	// reserved is the server that has admitted the next attempt already.
 	reserved *server
 	// attempts counts the servers that got the request, and failedDials those that accepted no connection.
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -35,6 +35,7 @@
 
 // acquireServer waits for a server with a free slot.
 func (t *task) acquireServer(ctx context.Context) (*server, *Refusal) {
+	defer t.stopWaiting()
 	if t.crashesServers() {
 		return nil, t.crashRefusal()
 	}
@@ -44,7 +45,6 @@
 		return nil, &Refusal{Status: http.StatusUnauthorized, Reason: "the key was revoked"}
 	}
 	waitUntil := t.ArrivedAt + max(t.route.TargetLatency*slotWaitPercent/100, slotPollInterval)
-	defer t.stopAwaitingRest()
 	for {
 		now := t.f.deps.Telemetry.Clock.Now()
 		s, reason := t.pickServer(now)
@@ -59,7 +59,8 @@
 		if t.writer.status == 0 && now > max(waitUntil, opensAt, t.awaitsRestUntil+rationer.ReturnSpan) || now >= t.deadline || !t.canAwait(opensAt) {
 			return nil, t.noServerRefusal(reason).withRetryAfter(opensAt - now)
 		}
-		if err := t.f.deps.Telemetry.Clock.Sleep(ctx, slotPollInterval); err != nil {
+		t.claimPlace(now)
+		if !t.f.awaitPlace(ctx) {
 			return nil, t.timeoutRefusal()
 		}
 		t.view = t.f.fleetView.Load()
@@ -118,7 +119,7 @@
 		}
 		slots := max(1, s.Slots)
 		load := s.load(now)
-		if load >= t.maxLoad(slots) || !s.ration.HasRoom(now, s.occupancy(load, now)) {
+		if load >= t.maxLoad(slots) || !s.mayGet(now, load) {
 			continue
 		}
 		rank := -1
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -137,12 +137,13 @@
 		return nil
 	case attemptNotRun:
 		status := x.res.StatusCode
-		err := x.res.Discard()
-		x.release(err == nil)
 		x.server.recordRefusal(now, status)
 		if status == http.StatusServiceUnavailable {
+			// Before the place is given back, or another instance gets it.
 			t.recordFull(x, now)
 		}
+		err := x.res.Discard()
+		x.release(err == nil)
 	case attemptNotSent:
 		t.failedDials++
 		if ctx.Err() == nil {
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -48,6 +48,7 @@
 func (t *task) recordFull(x *exchange, now timer.Millis) {
 	s := x.server
 	if s.ration.IsBrittle(now) {
+		s.places.RecordRefusal()
 		t.f.deps.Telemetry.Counter("servers.refused-brittle").Inc(1)
 		k := x.knowledge
 		t.f.deps.Telemetry.Log.Info("brittle backend server refused a request", "server", s.Name, "request", t.ID, "known-brittle", k.brittle,
@@ -60,12 +61,21 @@
 	}
 }
 
-// admittedServer returns the cheapest server that takes the request within its request limit, nil if there is none.
+// admittedServer returns the cheapest server that takes the request within its request limit, nil if there is none. The request
+// has a place there, which must be returned.
 func (t *task) admittedServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
 	for {
 		s := t.cheapestServer(list, now, suspendedOnly)
-		if s == nil || s.ration.Admit(now) {
-			return s
+		if s == nil {
+			return nil
+		}
+		if s.ration.Admit(now) {
+			if s.takePlace(now) {
+				return s
+			}
+			// Another request has taken the place meanwhile.
+			s.ration.Refund()
+			continue
 		}
 		t.f.deps.Telemetry.Counter("servers.over-limit").Inc(1)
 		if t.declined == nil {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -47,6 +48,7 @@
 	inFlight     atomic.Int64
 	prefillQueue prefillQueue
 	ration       *rationer.Ration
+	places       allotter.Places
 	// lastByte is the time of the last read from the server, in milliseconds.
 	lastByte atomic.Int64
 	// alarmedAt is the time of the last alarm about the server that this instance reported, in milliseconds.
@@ -66,6 +68,7 @@
 	// reportedLoad is the load that the server last reported, and ownAtReport this instance's requests in flight at
 	// that time.
 	reportedLoad        int
+	reportedSlots       int
 	ownAtReport         int
 	reportedAt          timer.Millis
 	consecutiveFailures int
@@ -107,7 +110,11 @@
 func (s *server) occupancy(load int, now timer.Millis) rationer.Occupancy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return rationer.Occupancy{Slots: max(1, s.Slots), Load: load, Own: int(s.inFlight.Load()),
+	slots := max(1, s.Slots)
+	if s.reportedSlots > 0 {
+		slots = min(slots, s.reportedSlots)
+	}
+	return rationer.Occupancy{Slots: slots, Load: load, Own: int(s.inFlight.Load()),
 		Told: s.reportedAt > 0 && now-s.reportedAt <= 2*loadReportMaxAge, ToldAge: now - s.reportedAt}
 }
 
@@ -134,7 +141,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reportedLoad = info.Running + info.Waiting
+	s.reportedLoad, s.reportedSlots = info.Running+info.Waiting, info.Slots
 	s.ownAtReport = int(s.inFlight.Load())
 	s.reportedAt = now
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -98,7 +98,7 @@
 		OnAcquittal:   func(list []quarantiner.Acquittal) { e.subscriber.ReportAcquittals(list) },
 		AwaitCurrent:  func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
 		OnServerAlarm: func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
-		OnLongPrefill: func() { e.subscriber.SendPrefillNow() },
+		OnLongPrefill: func() { e.subscriber.SendPrefillNow() }, OnPlacesChanged: func() { e.subscriber.ClaimPlaces() },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
 		Telemetry: telemetry, Self: messenger.Greeting{
@@ -110,6 +110,7 @@
 		NewOldVersionSessions: e.forwarder.NewOldVersionSessions, AddOldVersionSessions: e.forwarder.AddOldVersionSessions,
 		SuspendServers: e.forwarder.SuspendServers, AddCrashReports: e.forwarder.AddCrashReports, AddAcquittals: e.forwarder.AddAcquittals,
 		RateReports: e.forwarder.RateReports, SetOthersRates: e.forwarder.SetOthersRates,
+		PlaceClaims: e.forwarder.PlaceClaims, SetPlaces: e.forwarder.SetPlaces,
 		SetGateways: e.paths.SetGateways,
 	})
 	handler := platform.RequestHandler{
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
@@ -137,6 +138,10 @@
 	// RequestsGateways asks a control instance for some entry instances that relay connections, which it sends as Gateways.
 	RequestsGateways bool      `cbor:"25,keyasint,omitempty"`
 	Gateways         []Gateway `cbor:"26,keyasint,omitempty"`
+	// PlaceClaims are what an entry instance holds and wants of the places of brittle servers; PlaceGrants are the answers of the
+	// control instance that keeps their ledgers.
+	PlaceClaims []allotter.Claim `cbor:"27,keyasint,omitempty"`
+	PlaceGrants []allotter.Grant `cbor:"28,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/rationer/brittle.go
+++ b/internal/rationer/brittle.go
@@ -64,6 +64,17 @@
 	return brittle
 }
 
+// MaxRefusals returns the number of refusals per second that a brittle server bears.
+func (r *Ration) MaxRefusals(now timer.Millis) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.statedAt > 0 {
+		return r.maxRefusals
+	}
+	n, _ := r.service.terms(now)
+	return n
+}
+
 // RecordFull records that a server had no room for a request of any instance, and reports whether the others must know.
 func (r *Ration) RecordFull(now timer.Millis) bool {
 	r.mu.Lock()
@@ -79,15 +90,12 @@
 	return !wasPaused
 }
 
-// HasRoom reports whether a server does not rest, and is not brittle or will have room for another request. Each instance takes a part of the free
+// HasRoom estimates whether a server is not brittle, or will have room for another request, without a ledger of its places. Each instance takes a part of the free
 // places that is its part of the demand, since it does not see yet what the others send. Where the server does not tell its
 // load, all of its places are divided so.
 func (r *Ration) HasRoom(now timer.Millis, o Occupancy) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isResting(now, o) {
-		return false
-	}
 	if !r.isBrittle(now) {
 		return true
 	}
--- a/internal/rationer/rest.go
+++ b/internal/rationer/rest.go
@@ -24,8 +24,10 @@
 	return r.restsUntil
 }
 
-// isResting reports whether the server, which has own requests of this instance, gets no more now.
-func (r *Ration) isResting(now timer.Millis, o Occupancy) bool {
+// IsResting reports whether a server gets no further request of this instance now, because it asked for that.
+func (r *Ration) IsResting(now timer.Millis, o Occupancy) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	sinceEnd := now - r.restsUntil
 	if r.restsUntil == 0 || sinceEnd >= ReturnSpan {
 		return false
--- a/internal/rationer/rest_test.go
+++ b/internal/rationer/rest_test.go
@@ -29,7 +29,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := r.HasRoom(tt.now, Occupancy{Slots: 8, Load: tt.own, Own: tt.own}); got != tt.hasRoom {
+			if got := !r.IsResting(tt.now, Occupancy{Slots: 8, Load: tt.own, Own: tt.own}); got != tt.hasRoom {
 				t.Fatalf("got %t, want %t", got, tt.hasRoom)
 			}
 		})
--- /dev/null
+++ b/internal/steward/places.go
@@ -0,0 +1,64 @@
+package steward
+
+import (
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+// placeInterval is the time between looks at ledgers whose places become free without a claim: a level rises, or the places of
+// an instance that is gone come back.
+const placeInterval = 50 * timer.Millisecond
+
+// addPlaceClaims applies the claims of an entry instance for places of brittle servers, and answers. Claims for a server whose
+// ledger another control instance keeps get no answer: two keepers would give the same places away.
+func (s *Steward) addPlaceClaims(conn *messenger.Link, claims []allotter.Claim) {
+	sender, ok := s.connections[conn]
+	if !ok {
+		return
+	}
+	key := incarnationKey(sender)
+	s.placeLinks[key] = conn
+	candidates := s.ledgerCandidates()
+	now := s.deps.Telemetry.Clock.Now()
+	for _, c := range claims {
+		if keeper, _ := allotter.Keeper(c.Server, c.DataCentre, candidates); keeper == candidates[0] {
+			s.places.Claim(key, c, now)
+		}
+	}
+	s.sendPlaceGrants()
+}
+
+// ledgerCandidates returns the control instances that may keep ledgers, this one first.
+func (s *Steward) ledgerCandidates() []allotter.Candidate {
+	list := []allotter.Candidate{{Instance: s.deps.Self.Instance, DataCentre: s.deps.Self.DataCentre}}
+	for _, g := range s.connections {
+		if g.Address != "" && !g.Stopping {
+			list = append(list, allotter.Candidate{Instance: g.Instance, DataCentre: g.DataCentre})
+		}
+	}
+	return list
+}
+
+// sendPlaceGrants gives free places to the entry instances that want them.
+func (s *Steward) sendPlaceGrants() {
+	for key, grants := range s.places.Settle(s.deps.Telemetry.Clock.Now()) {
+		if conn := s.placeLinks[key]; conn != nil {
+			conn.Send(messenger.Packet{PlaceGrants: grants})
+		}
+	}
+	if s.placeTimer == nil && s.places.HasWork() {
+		s.placeTimer = s.deps.Telemetry.Clock.After(placeInterval)
+	}
+}
+
+// loseClaimant marks the places of an entry instance whose link has closed, unless it has opened another one.
+func (s *Steward) loseClaimant(conn *messenger.Link, peer messenger.Greeting) {
+	key := incarnationKey(peer)
+	if s.placeLinks[key] != conn {
+		return
+	}
+	delete(s.placeLinks, key)
+	s.places.Lose(key, s.deps.Telemetry.Clock.Now())
+	s.sendPlaceGrants()
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
@@ -95,6 +96,11 @@
 	// rates are the latest reports of the entry instances on servers that limit their requests.
 	rates     *rationer.Board[*messenger.Link]
 	rateTimer <-chan timer.Tick
+	// places are the ledgers of brittle servers that this instance keeps, and placeLinks the links to the entry instances that
+	// have claims there, by incarnationKey.
+	places     *allotter.Ledger[string]
+	placeLinks map[string]*messenger.Link
+	placeTimer <-chan timer.Tick
 	// pendingPrefillByEntry is the latest report of pending prefill from each entry instance.
 	pendingPrefillByEntry map[*messenger.Link][]messenger.PendingPrefill
 	// nonEmptyPrefillSent is true for an entry instance if the last message to it about others' pending prefill was not
@@ -127,6 +133,7 @@
 		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), pendingMembers: map[string]registrar.Member{}, outcomes: map[string][]messenger.Outcomes{},
 		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		evidence: quarantiner.NewEvidence(), rates: rationer.NewBoard[*messenger.Link](), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
+		places: allotter.NewLedger[string](), placeLinks: map[string]*messenger.Link{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
 		rosterSaves: make(chan SavedRoster),
 	}
@@ -216,6 +223,9 @@
 		case <-s.rateTimer:
 			s.rateTimer = nil
 			s.sendOthersRates()
+		case <-s.placeTimer:
+			s.placeTimer = nil
+			s.sendPlaceGrants()
 		case <-s.memberTimer:
 			s.sendPendingMembers()
 		case <-s.alarmTimer:
@@ -311,6 +321,9 @@
 	if p.HasRateReports {
 		s.addRateReports(conn, p.RateReports)
 	}
+	if len(p.PlaceClaims) > 0 {
+		s.addPlaceClaims(conn, p.PlaceClaims)
+	}
 	s.forwardEvidence(p)
 	s.forwardOldVersionSessions(p.OldVersionSessions)
 }
@@ -374,6 +387,7 @@
 	peer := s.connections[conn]
 	delete(s.connections, conn)
 	s.rates.Remove(conn)
+	s.loseClaimant(conn, peer)
 	s.deps.Telemetry.Log.Info("instance lost", "instance", peer.Instance, "data-centre", peer.DataCentre)
 	if peer.Address == "" {
 		s.clearRunning(peer)
--- a/internal/subscriber/deps.go
+++ b/internal/subscriber/deps.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
@@ -53,6 +54,10 @@
 	// others know.
 	RateReports    func() []rationer.Report
 	SetOthersRates func([]rationer.Report)
+	// PlaceClaims returns the claims for places of brittle servers that have changed, or all of them; SetPlaces applies the
+	// answers.
+	PlaceClaims func(all bool) []allotter.Claim
+	SetPlaces   func([]allotter.Grant)
 	// SetGateways receives instances that connections to backend servers may lead through.
 	SetGateways func([]messenger.Gateway)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -38,6 +38,8 @@
 	events chan func()
 	// prefillReportRequests triggers a report on waiting prefill before the interval ends.
 	prefillReportRequests chan struct{}
+	// placeChanges triggers claims for places of brittle servers.
+	placeChanges chan struct{}
 	// alarms holds the alarms about backend servers that are not sent yet.
 	alarms chan messenger.ServerAlarm
 	tomb   tomb.Tomb
@@ -70,8 +72,9 @@
 func NewSubscriber(deps Deps) *Subscriber {
 	s := &Subscriber{
 		deps: deps, events: make(chan func(), maxQueuedEvents), prefillReportRequests: make(chan struct{}, 1),
-		alarms: make(chan messenger.ServerAlarm, maxQueuedAlarms),
-		links:  map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
+		placeChanges: make(chan struct{}, 1),
+		alarms:       make(chan messenger.ServerAlarm, maxQueuedAlarms),
+		links:        map[*messenger.Link]bool{}, seeds: deps.Seeds, controlAddresses: map[*messenger.Link][]string{},
 		roster:     registrar.NewRoster(),
 		standstill: newStandstill(deps.Telemetry.Clock),
 	}
@@ -156,11 +159,14 @@
 			s.finishSync()
 		case <-s.prefillReportRequests:
 			s.reportPendingPrefill()
+		case <-s.placeChanges:
+			s.sendPlaceClaims(false)
 		case a := <-s.alarms:
 			s.reportAlarms(a)
 		case <-prefillReportDue:
 			s.reportPendingPrefill()
 			s.reportRates()
+			s.sendPlaceClaims(false)
 			s.refreshGateways()
 			prefillReportDue = s.deps.Telemetry.Clock.After(prefillReportInterval)
 		case <-outcomeReportDue:
@@ -189,6 +195,7 @@
 
 func (s *Subscriber) handleOpened(l *messenger.Link) {
 	s.links[l] = true
+	s.sendPlaceClaims(true)
 	if len(s.links) == 1 {
 		s.requestRoster()
 	}
@@ -201,6 +208,7 @@
 func (s *Subscriber) handleClosed(l *messenger.Link) {
 	delete(s.links, l)
 	delete(s.controlAddresses, l)
+	s.sendPlaceClaims(true)
 	if l.PeerGreeting().DataCentre == s.deps.Self.DataCentre {
 		s.requestRoster()
 	}
@@ -275,6 +283,9 @@
 	if p.HasRateReports {
 		s.deps.SetOthersRates(p.RateReports)
 	}
+	if len(p.PlaceGrants) > 0 {
+		s.deps.SetPlaces(p.PlaceGrants)
+	}
 	if len(p.Acquittals) > 0 {
 		s.deps.AddAcquittals(p.Acquittals)
 	}
