Leave a resting server alone on the way through another instance too

A server that asks for a rest means the machine that its connections come from. An instance that relays connections for others did not know what a server had answered to their requests, and they did not know what it had been told.

Now the instance that gets such an answer tells the one that relays (PUT /rests/ADDRESS at its tunnel address, at once and without a control instance), which then refuses tunnels to that server with the time that is left, and tells open ones to carry no further request. The refused instance leaves the server alone for that time and blames neither the server nor the way.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -104,6 +104,13 @@
 	return ok
 }
 
+// ReportRest tells the other instance that the connection leads through, if there is one, that the server has asked to be left alone.
+func (c *Conn) ReportRest(rest timer.Millis) {
+	if d, ok := c.Conn.(Detour); ok {
+		d.ReportRest(rest)
+	}
+}
+
 // isExpired reports whether the way of the connection should not be used any longer.
 func (c *Conn) isExpired() bool {
 	d, ok := c.Conn.(Detour)
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -40,6 +40,8 @@
 type Detour interface {
 	// IsExpired reports whether the connection should carry no further request.
 	IsExpired() bool
+	// ReportRest tells the other instance that the server has asked to be left alone; it must not block.
+	ReportRest(rest timer.Millis)
 }
 
 // NewDial returns a function that opens a TCP connection to an address before the context ends.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -113,6 +113,9 @@
 		if c, err = s.pool.Open(ctx, min(dialTimeout, t.deadline-now)); err != nil {
 			x.err = err
 			t.returnPlace(s)
+			if t.recordRestingGateway(s, err) {
+				return x, attemptOutdated
+			}
 			return x, attemptNotSent
 		}
 	}
@@ -145,7 +148,7 @@
 		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
 	}
 	s.updateLoad(res.Info, now)
-	t.recordTerms(s, res.Info, now)
+	t.recordTerms(x, now)
 	t.confidence = res.Info.Confidence
 	if res.Info.NotRun {
 		return x, attemptNotRun
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -81,6 +81,18 @@
 	return f.services[m.Service]
 }
 
+// serverAt returns the server at an address that accepts new work, nil if there is none.
+func (fv *fleetView) serverAt(address string) *server {
+	for _, list := range fv.servers {
+		for _, s := range list {
+			if s.Address == address {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 // versionSplit divides the servers of a service that may receive work into those of the roll-out's target version and
 // the others.
 type versionSplit struct {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	AwaitCurrent func(context.Context) bool
 	// OnServerAlarm is called when a server fails in a way that concerns all instances; it must not block.
 	OnServerAlarm func(messenger.ServerAlarm)
+	// OnServerRests is called with the address of a server that asks to be left alone; it must not block.
+	OnServerRests func(address string)
 	// OnPlacesChanged is called when the claims for places of brittle servers have changed; it must not block.
 	OnPlacesChanged func()
 	// OnLongPrefill is called when a prompt with a long prefill is sent to a server.
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -14,15 +14,19 @@
 const rationRetryInterval = 250 * timer.Millisecond
 
 // recordTerms stores what a response says about the requests that its server takes.
-func (t *task) recordTerms(s *server, info exchanger.Info, now timer.Millis) {
+func (t *task) recordTerms(x *exchange, now timer.Millis) {
+	s, info := x.server, x.res.Info
 	t.recordBrittleness(s, info, now)
 	t.recordRateLimit(s, info, now)
 	if info.InvalidRest != "" {
 		t.f.deps.Telemetry.Log.Warn("backend server asks to be left alone for a time that is not understood", "server", s.Name,
 			"time", strconv.Quote(info.InvalidRest), "request", t.ID)
 	}
-	if info.Rest > 0 && s.ration.Rest(now+info.Rest) {
-		t.f.deps.Telemetry.Counter("servers.resting").Inc(1)
+	if info.Rest == 0 {
+		return
+	}
+	x.conn.ReportRest(info.Rest)
+	if t.f.rest(s, info.Rest, now) {
 		t.f.deps.Telemetry.Log.Info("backend server asks to be left alone", "server", s.Name, "for-ms", int64(info.Rest), "request", t.ID)
 	}
 }
--- a/internal/forwarder/rest.go
+++ b/internal/forwarder/rest.go
@@ -1,11 +1,51 @@
 package forwarder
 
 import (
+	"errors"
 	"sync/atomic"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/tunneler"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
+// rest leaves a server alone for the given time, and lets the instances that use this one as a gateway know. It reports whether
+// the server rests longer than before.
+func (f *Forwarder) rest(s *server, d, now timer.Millis) bool {
+	if !s.ration.Rest(now + d) {
+		return false
+	}
+	f.deps.Telemetry.Counter("servers.resting").Inc(1)
+	f.deps.OnServerRests(s.Address)
+	return true
+}
+
+// RestServer leaves the server at an address alone: it has asked for that with an answer to a request of another instance, which
+// was sent through this one.
+func (f *Forwarder) RestServer(address string, d timer.Millis) {
+	if s := f.fleetView.Load().serverAt(address); s != nil {
+		f.rest(s, d, f.deps.Telemetry.Clock.Now())
+	}
+}
+
+// RestLeft returns for how long the server at an address gets nothing from this instance, because it asked for that.
+func (f *Forwarder) RestLeft(address string) timer.Millis {
+	s := f.fleetView.Load().serverAt(address)
+	if s == nil {
+		return 0
+	}
+	return max(0, s.ration.RestsUntil()-f.deps.Telemetry.Clock.Now())
+}
+
+// recordRestingGateway leaves a server alone that rests for the machine of a gateway, and reports whether the error says so.
+func (t *task) recordRestingGateway(s *server, err error) bool {
+	var resting *tunneler.RestingError
+	if !errors.As(err, &resting) {
+		return false
+	}
+	t.f.rest(s, resting.Left, t.f.deps.Telemetry.Clock.Now())
+	return true
+}
+
 // restsUntil returns the first time at which a server that may serve the request has rested, 0 if one does not rest.
 func (t *task) restsUntil(now timer.Millis) timer.Millis {
 	var first timer.Millis
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -99,6 +99,7 @@
 		AwaitCurrent:  func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
 		OnServerAlarm: func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
 		OnLongPrefill: func() { e.subscriber.SendPrefillNow() }, OnPlacesChanged: func() { e.subscriber.ClaimPlaces() },
+		OnServerRests: func(address string) { e.tunnels.DrainServer(address) },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
 		Telemetry: telemetry, Self: messenger.Greeting{
@@ -129,7 +130,7 @@
 		return nil, err
 	}
 	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: telemetry, Dial: dial, IsServer: e.forwarder.IsServer, ReachesAnother: e.paths.ReachesAnother,
-		IsCutOff: e.paths.IsCutOff})
+		IsCutOff: e.paths.IsCutOff, RestLeft: e.forwarder.RestLeft, OnRest: e.forwarder.RestServer})
 	if settings.Listen.Tunnels != "" {
 		if e.tunnelListener, err = e.listen(settings.Listen.Tunnels, e.tunnels); err != nil {
 			return nil, err
--- a/internal/launcher/partition_test.go
+++ b/internal/launcher/partition_test.go
@@ -31,6 +31,15 @@
 
 // dial opens a connection unless the address is that of a server and the partition has begun.
 func (p *partition) dial(ctx context.Context, address string) (net.Conn, error) {
+	return p.dialWith(exchanger.NewDial())(ctx, address)
+}
+
+// dialWith returns a function that opens connections with dial unless the partition prevents it.
+func (p *partition) dialWith(dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) { return p.open(ctx, dial, address) }
+}
+
+func (p *partition) open(ctx context.Context, dial func(context.Context, string) (net.Conn, error), address string) (net.Conn, error) {
 	p.mu.Lock()
 	isCut := p.begun && p.servers[address]
 	p.mu.Unlock()
@@ -41,7 +50,7 @@
 	if isCut {
 		return nil, fmt.Errorf("dial %s: %w", address, syscall.ECONNREFUSED)
 	}
-	conn, err := exchanger.NewDial()(ctx, address)
+	conn, err := dial(ctx, address)
 	if err != nil || !p.servers[address] {
 		return conn, err
 	}
--- a/internal/launcher/retry_after_test.go
+++ b/internal/launcher/retry_after_test.go
@@ -193,7 +193,8 @@
 	}
 }
 
-func newRestingFleet(t *testing.T, servers []*restingServer, entries int) *restingFleet {
+// newRestingFleet starts entry instances before the servers; all but the last one can be partitioned from them if p is not nil.
+func newRestingFleet(t *testing.T, servers []*restingServer, entries int, p *partition) *restingFleet {
 	t.Helper()
 	f := &restingFleet{deployment: newDeployment(t)}
 	t.Cleanup(f.stop)
@@ -201,6 +202,9 @@
 	for i, s := range servers {
 		server := httptest.NewServer(s)
 		t.Cleanup(server.Close)
+		if p != nil {
+			p.servers[server.Listener.Addr().String()] = true
+		}
 		t.Cleanup(f.announce(fmt.Sprint("i-", i), server.Listener.Addr().String(), "a"))
 	}
 	for n := range entries {
@@ -209,7 +213,11 @@
 			t.Fatal(err)
 		}
 		f.addrs = append(f.addrs, fmt.Sprintf("127.0.0.1:%d", ports[0]))
-		e := f.startEntryWithDial(fmt.Sprint("r", n+1), f.addrs[n], fmt.Sprintf("127.0.0.1:%d", ports[1]), dialFrom(fmt.Sprint("127.0.1.", n+1)))
+		dial := dialFrom(fmt.Sprint("127.0.1.", n+1))
+		if p != nil && n < entries-1 {
+			dial = p.dialWith(dial)
+		}
+		e := f.startEntryWithDial(fmt.Sprint("r", n+1), f.addrs[n], fmt.Sprintf("127.0.0.1:%d", ports[1]), dial)
 		f.entries = append(f.entries, e)
 		t.Cleanup(func() {
 			if err := e.Stop(); err != nil {
@@ -220,9 +228,9 @@
 	return f
 }
 
-// callers sends requests of all kinds to each instance until stop is called, which returns how many were answered with each
+// callers sends requests of all kinds to each instance, with a pause after each, until stop is called, which returns how many were answered with each
 // status, and the longest time that a refusal took.
-func (f *restingFleet) callers(perInstance int) (stop func() (statuses map[int]int, slowestRefusal time.Duration)) {
+func (f *restingFleet) callers(perInstance int, pause time.Duration) (stop func() (statuses map[int]int, slowestRefusal time.Duration)) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	statuses, slowest := map[int]int{}, time.Duration(0)
@@ -235,7 +243,7 @@
 					select {
 					case <-done:
 						return
-					case <-time.After(20 * time.Millisecond):
+					case <-time.After(pause):
 					}
 					request := requests[i%len(requests)]
 					start := time.Now()
@@ -287,11 +295,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			servers := []*restingServer{newRestingServer(), newRestingServer()}
-			f := newRestingFleet(t, servers, tt.entries)
+			f := newRestingFleet(t, servers, tt.entries, nil)
 			for _, addr := range f.addrs {
 				f.waitForStatus(http.StatusOK, http.MethodGet, "http://"+addr+"/read/x", "")
 			}
-			stop := f.callers(12)
+			stop := f.callers(12, 20*time.Millisecond)
 			time.Sleep(time.Second)
 			start := time.Now()
 			for _, s := range servers[:tt.resting] {
@@ -321,3 +329,47 @@
 		})
 	}
 }
+
+// Guards against requests that reach a resting server through another instance: it asks the machine that the connection comes from,
+// whichever instance the request is from.
+func TestServersAreLeftAloneByGatewaysToo(t *testing.T) {
+	const (
+		noticeTime = 3 * time.Second
+		loadTime   = 9 * time.Second
+	)
+	p := &partition{hangs: true, resets: true, servers: map[string]bool{}}
+	servers := []*restingServer{newRestingServer(), newRestingServer(), newRestingServer()}
+	f := newRestingFleet(t, servers, 6, p)
+	for _, addr := range f.addrs {
+		f.waitForStatus(http.StatusOK, http.MethodGet, "http://"+addr+"/read/x", "")
+	}
+	for deadline := time.Now().Add(15 * time.Second); f.entries[0].telemetry.Gauge("gateways.known").Value() < 4; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the instance does not know the others")
+		}
+	}
+	p.begin()
+	stop := f.callers(6, 20*time.Millisecond)
+	time.Sleep(noticeTime)
+	stop()
+	if !f.entries[0].paths.IsCutOff() {
+		t.Fatal("the partition was not noticed")
+	}
+	for _, s := range servers[:2] {
+		s.setRetryAfter("4")
+	}
+	// Each instance has few requests, so that they arrive all over the time of rest.
+	stop = f.callers(2, 1200*time.Millisecond)
+	time.Sleep(loadTime)
+	statuses, _ := stop()
+	t.Logf("answers to callers %v", statuses)
+	for i, s := range servers[:2] {
+		t.Logf("server %d: %d refusals", i, s.refusedCount())
+		if n := s.mostInRest(); n > maxInRest {
+			t.Errorf("server %d got %d requests from one machine while it rested, want %d at most", i, n, maxInRest)
+		}
+	}
+	if statuses[http.StatusOK] < 50 {
+		t.Errorf("%d requests were served, one server does not rest", statuses[http.StatusOK])
+	}
+}
--- a/internal/pathfinder/dial.go
+++ b/internal/pathfinder/dial.go
@@ -144,7 +144,7 @@
 	tunnel, err := tunneler.Dial(ctx, r.p.deps.Dial, way.Address, r.endpoint.Address)
 	if err == nil {
 		a.conn = r.p.newDetourConn(tunnel, r.endpoint, way)
-	} else if a.err = err; !hasAnswered(err) && !errors.Is(err, context.Canceled) {
+	} else if a.err = err; !hasAnswered(err) && !isResting(err) && !errors.Is(err, context.Canceled) {
 		r.p.suspend(way)
 	}
 	r.outcomes <- a
@@ -155,6 +155,12 @@
 	return errors.Is(err, tunneler.ErrUnreachable) || errors.Is(err, tunneler.ErrRefused)
 }
 
+// isResting reports whether the error of a gateway tells that the server rests there.
+func isResting(err error) bool {
+	var resting *tunneler.RestingError
+	return errors.As(err, &resting)
+}
+
 // runCleanup closes the connections that are opened too late.
 func (r *race) runCleanup() {
 	for range r.started - r.ended {
@@ -185,6 +191,9 @@
 	var confirmed, refused bool
 	text := ""
 	for _, f := range r.failures {
+		if isResting(f.err) {
+			return fmt.Errorf("%w, %w: %w", ErrNoPath, ErrUnconfirmed, f.err)
+		}
 		confirmed = confirmed || hasAnswered(f.err)
 		refused = refused || errors.Is(f.err, tunneler.ErrRefused)
 		text += "; " + f.err.Error()
@@ -233,6 +242,17 @@
 	return c.Conn.Close()
 }
 
+// ReportRest tells the gateway that the server has asked to be left alone.
+func (c *detourConn) ReportRest(rest timer.Millis) {
+	go c.runRestReport(rest)
+}
+
+func (c *detourConn) runRestReport(rest timer.Millis) {
+	if err := tunneler.ReportRest(context.Background(), c.p.deps.Dial, c.gateway.Address, c.endpoint.Address, rest); err != nil {
+		c.p.deps.Telemetry.Log.Info("gateway not told that a backend server rests", "gateway", c.gateway.Address, "server", c.endpoint.Address, "error", err)
+	}
+}
+
 // Read reads what the server has sent.
 func (c *detourConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -92,7 +92,7 @@
 	}
 	var relays []messenger.Gateway
 	for i := range gateways {
-		h := tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), Dial: n.dialElsewhere,
+		h := tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), RestLeft: func(string) timer.Millis { return 0 }, Dial: n.dialElsewhere,
 			IsServer: func(string) bool { return true }, IsCutOff: func() bool { return false },
 			ReachesAnother: func(context.Context, string) bool { return true }})
 		server := httptest.NewServer(h)
--- a/internal/tunneler/conn.go
+++ b/internal/tunneler/conn.go
@@ -78,6 +78,8 @@
 	switch {
 	case res.StatusCode == http.StatusOK:
 		return nil
+	case parseRest(res.Header) > 0:
+		return &RestingError{Left: parseRest(res.Header)}
 	case res.StatusCode != http.StatusBadGateway:
 		return fmt.Errorf("relay %s: status %d: %w", relay, res.StatusCode, ErrUnwilling)
 	case res.Header.Get(headerFailure) == failureRefused:
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +39,10 @@
 	// ReachesAnother reports whether this instance reaches another server than the given one. Only then does it tell others that
 	// the server is out of reach.
 	ReachesAnother func(context.Context, string) bool
+	// RestLeft returns for how long a server gets nothing from this instance, because it asked for that; OnRest is called when
+	// another instance reports that it did.
+	RestLeft func(string) timer.Millis
+	OnRest   func(address string, rest timer.Millis)
 	// IsCutOff reports whether this instance does not reach the servers itself.
 	IsCutOff func() bool
 }
@@ -58,10 +64,19 @@
 
 // ServeHTTP connects to the server that a CONNECT request names and relays the connection until either end closes it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, restPath) {
+		h.serveRest(w, r)
+		return
+	}
 	if r.Method != http.MethodConnect || !h.deps.IsServer(r.Host) {
 		http.Error(w, "only known backend servers are connected to", http.StatusForbidden)
 		return
 	}
+	if left := h.deps.RestLeft(r.Host); left > 0 {
+		w.Header().Set(headerRest, strconv.FormatInt(int64(left), 10))
+		http.Error(w, "the backend server rests", http.StatusServiceUnavailable)
+		return
+	}
 	if !h.reserve() {
 		http.Error(w, "no connection is relayed", http.StatusServiceUnavailable)
 		return
@@ -127,7 +142,7 @@
 	if tcp, ok := peer.(*net.TCPConn); ok {
 		err = tcp.SetKeepAliveConfig(keepAlive)
 	}
-	t := &tunnel{server: server, peer: peer, fromPeer: buffered.Reader}
+	t := &tunnel{address: r.Host, server: server, peer: peer, fromPeer: buffered.Reader}
 	if err := errors.Join(err, peer.SetDeadline(time.Time{}), t.accept()); err != nil {
 		t.close()
 		return nil, err
@@ -173,6 +188,8 @@
 
 // tunnel copies bytes between the connection to a server and that to another instance.
 type tunnel struct {
+	// address is that of the server.
+	address      string
 	server, peer net.Conn
 	// fromPeer reads from peer and what net/http had read ahead.
 	fromPeer io.Reader
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -41,7 +41,7 @@
 // startGateway starts a handler that connects to the given server only.
 func startGateway(t *testing.T, server string) (*Handler, string) {
 	t.Helper()
-	h := NewHandler(HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), Dial: dialTCP,
+	h := NewHandler(HandlerDeps{Telemetry: observer.NewDiscard(timer.NewSystemClock()), RestLeft: func(string) timer.Millis { return 0 }, Dial: dialTCP,
 		IsServer: func(address string) bool { return address == server }, IsCutOff: func() bool { return false },
 		ReachesAnother: func(context.Context, string) bool { return true }})
 	gateway := httptest.NewServer(h)
