Refuse odd entries among the announcements of backend servers

Deep nesting, numbers that no integer holds and ports above 65535 were refused already, and ended no process.

The class: numbers and text of another process that are used before they are checked. The rows of the steward's tests had addresses without an IP and no version; they are sound rows now, with the same checks. Not changed: a writer that names a sound server's id with a later start is believed, as a server that started anew is.

--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -129,11 +129,22 @@
 
 // announceSlots announces a backend server of the service desk until stop is called.
 func (d *deployment) announceSlots(name, address, dataCentre string, slots int) (stop func()) {
+	d.t.Helper()
+	return d.announceBorn(name, address, dataCentre, slots, 1)
+}
+
+// announceNewer announces a backend server that has started after all others until stop is called.
+func (d *deployment) announceNewer(name, address string) (stop func()) {
+	d.t.Helper()
+	return d.announceBorn(name, address, "a", 100, 2)
+}
+
+func (d *deployment) announceBorn(name, address, dataCentre string, slots, born int) (stop func()) {
 	d.t.Helper()
 	put := func(seq int, wait func(url, body string)) {
 		wait(fmt.Sprintf("http://%s/instances/%s", d.controlAddrs[seq%len(d.controlAddrs)], name),
-			fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","seq":%d,"born":1}`,
-				address, dataCentre, slots, seq))
+			fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","seq":%d,"born":%d}`,
+				address, dataCentre, slots, seq, born))
 	}
 	put(1, func(url, body string) { d.waitForStatus(http.StatusOK, http.MethodPut, url, body) })
 	done := make(chan struct{})
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// decoding accepts text with bytes that are no text: a name that some process has made up must not break the link that carries
+// it, again and again.
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // read passes packets to handle until the link breaks.
 func (l *Link) read(handle func(Packet)) error {
 	defer l.Close()
@@ -118,7 +130,7 @@
 			return trace.Wrap(err)
 		}
 		var p Packet
-		if err := cbor.Unmarshal(raw, &p); err != nil {
+		if err := decoding.Unmarshal(raw, &p); err != nil {
 			return trace.Wrap(err, "packet of %s", l.peerGreeting.Instance)
 		}
 		handle(p)
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -92,6 +92,10 @@
 func (s *Steward) mergeServers(list []registrar.Member) []registrar.Member {
 	var changed []registrar.Member
 	for _, m := range list {
+		if err := m.Check(); err != nil {
+			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "error", err)
+			continue
+		}
 		if _, differs := s.roster.Merge(m); differs {
 			row, _ := s.roster.Member(m.Name)
 			changed = append(changed, row)
--- a/internal/steward/announcements_test.go
+++ b/internal/steward/announcements_test.go
@@ -12,7 +12,7 @@
 // each of them only once. The first instance must not mark them silent.
 func TestServerAnnouncedToAnotherInstanceIsNotMarkedSilent(t *testing.T) {
 	servingRow := func(sequence int64) registrar.Member {
-		return registrar.Member{Name: "a", Incarnation: 1, Sequence: sequence, Address: "a:1", Service: "s"}
+		return registrar.Member{Name: "a", Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4}
 	}
 	silentRow := func(sequence int64) registrar.Member {
 		m := servingRow(sequence)
@@ -35,11 +35,11 @@
 		"another instance marked it silent earlier": {
 			[]registrar.Member{silentRow(3)}, registrar.MemberStateSilent, true},
 		"it restarted and announces itself to another instance": {
-			[]registrar.Member{{Name: "a", Incarnation: 2, Sequence: 1, Address: "a:1", Service: "s"}},
+			[]registrar.Member{{Name: "a", Incarnation: 2, Sequence: 1, Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4}},
 			registrar.MemberStateServing, false,
 		},
 		"it announces to another instance that it is leaving": {[]registrar.Member{{Name: "a", Incarnation: 1, Sequence: 5,
-			Address: "a:1", Service: "s", State: registrar.MemberStateLeaving}}, registrar.MemberStateLeaving, false},
+			Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4, State: registrar.MemberStateLeaving}}, registrar.MemberStateLeaving, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -79,10 +79,10 @@
 			clock.Now = func() timer.Millis { return now }
 			s := NewSteward(Deps{Telemetry: observer.NewDiscard(clock), Config: Config{SilenceTimeout: 4500, ForgetAfter: timer.Minute}})
 			s.mergeAnnouncement(registrar.Member{Name: "a", Incarnation: 1, Sequence: tt.announcedSequence,
-				Address: "a:1", Service: "s"})
+				Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4})
 			now += tt.elapsed
 			list := []registrar.Member{{Name: "a", Incarnation: 1, Sequence: tt.silentSequence,
-				Address: "a:1", Service: "s", State: registrar.MemberStateSilent}}
+				Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4, State: registrar.MemberStateSilent}}
 			s.mergeServers(list)
 			s.rosterDirty = false
 			s.correctSilentServers(list)
--- a/internal/steward/restore.go
+++ b/internal/steward/restore.go
@@ -39,6 +39,10 @@
 		deadline: s.deps.Telemetry.Clock.Now() + restoreTimeout}
 	servingCount := 0
 	for _, m := range saved.Servers {
+		if err := m.Check(); err != nil {
+			s.deps.Telemetry.Log.Warn("saved row of the roster ignored", "server", m.Name, "error", err)
+			continue
+		}
 		s.roster.Merge(m)
 		if m.State != registrar.MemberStateServing {
 			continue
--- a/internal/steward/restore_test.go
+++ b/internal/steward/restore_test.go
@@ -13,10 +13,10 @@
 // second or longer, and must be usable in the meantime.
 func TestRestoredServersAreUsableAfterRestart(t *testing.T) {
 	saved := []registrar.Member{
-		{Name: "heard", Incarnation: 1, Sequence: 5, Address: "a:1", Service: "s"},
-		{Name: "gone", Incarnation: 1, Sequence: 5, Address: "b:1", Service: "s"},
-		{Name: "elsewhere", Incarnation: 1, Sequence: 5, Address: "d:1", Service: "s"},
-		{Name: "left", Incarnation: 1, Sequence: 5, Address: "c:1", Service: "s", State: registrar.MemberStateLeaving},
+		{Name: "heard", Incarnation: 1, Sequence: 5, Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4},
+		{Name: "gone", Incarnation: 1, Sequence: 5, Address: "10.0.0.2:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4},
+		{Name: "elsewhere", Incarnation: 1, Sequence: 5, Address: "10.0.0.4:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4},
+		{Name: "left", Incarnation: 1, Sequence: 5, Address: "10.0.0.3:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4, State: registrar.MemberStateLeaving},
 	}
 	now := timer.Millis(0)
 	clock := timer.NewSystemClock()
@@ -29,7 +29,7 @@
 		t.Fatalf("%d usable servers after the restart, want 3", n)
 	}
 	// Another instance received an announcement of one of them.
-	s.mergeServers([]registrar.Member{{Name: "heard", Incarnation: 1, Sequence: 6, Address: "a:1", Service: "s"}})
+	s.mergeServers([]registrar.Member{{Name: "heard", Incarnation: 1, Sequence: 6, Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4}})
 	now += restoreTimeout - 1
 	s.expireServers()
 	if n := usableCount(); n != 3 {
@@ -60,12 +60,12 @@
 	if s.rosterSavedAt != 0 {
 		t.Fatal("an unchanged roster was saved")
 	}
-	s.mergeServers([]registrar.Member{{Name: "a", Incarnation: 1, Sequence: 1, Address: "a:1", Service: "s"}})
+	s.mergeServers([]registrar.Member{{Name: "a", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4}})
 	saveWhenDue()
 	if saved := <-saves; len(saved.Servers) != 1 || saved.Servers[0].Name != "a" || len(saved.AnnouncedHere) != 0 {
 		t.Fatalf("saved %v", saved)
 	}
-	s.mergeAnnouncement(registrar.Member{Name: "b", Incarnation: 1, Sequence: 1, Address: "b:1", Service: "s"})
+	s.mergeAnnouncement(registrar.Member{Name: "b", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:1", Service: "s", DataCentre: "a", Version: "v1", Slots: 4})
 	s.queueRosterSave(now)
 	if !s.rosterDirty {
 		t.Fatal("saved twice within the minimum interval")
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -241,6 +241,10 @@
 		s.updateLinks()
 	}
 	for _, m := range p.Members {
+		if err := m.Check(); err != nil {
+			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "from", l.PeerGreeting().Instance, "error", err)
+			continue
+		}
 		if _, changed := s.roster.Merge(m); changed {
 			s.viewChanged = true
 			s.deps.Telemetry.Log.Debug("backend server updated", "server", m.Name, "standing", m.State, "from", l.PeerGreeting().Instance)
