Refuse a request that a stopping instance cannot finish

Can it happen here: yes, in the time in which the balancer still sends requests to an instance that stops. Later it cannot: net/http passes no request on that it reads after the listener has closed, and closes the connection unread.

Now a request that comes during a stop is passed on only if its time limit ends before the stop does, or if the usual time of its route fits: four times for one that may not be repeated, one and a half times for any other. Else it is refused at once as not run, with the time to come back; the connection closes, so that the caller comes back elsewhere. A request that still waits for a server is answered before the stop ends.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	AwaitCurrent func(context.Context) bool
 	// OnServerAlarm is called when a server fails in a way that concerns all instances; it must not block.
 	OnServerAlarm func(messenger.ServerAlarm)
+	// StopsAt returns the time at which this instance stops and cuts off what is not answered; 0 if it does not stop.
+	StopsAt func() timer.Millis
 	// OnServerRests is called with the address of a server that asks to be left alone; it must not block.
 	OnServerRests func(address string)
 	// OnPlacesChanged is called when the claims for places of brittle servers have changed; it must not block.
@@ -78,6 +80,8 @@
 	sessions          *sessions
 	versionOutcomes   *versionOutcomes
 	firstByteAverages sync.Map
+	// answerTimes holds the *movingAverage of answerTime for each route.
+	answerTimes sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
 	// placeGranted is closed and replaced when places at brittle servers are granted.
@@ -145,6 +149,7 @@
 // resetRouteStats drops the statistics of routes, which a new policy may have changed.
 func (f *Forwarder) resetRouteStats() {
 	f.firstByteAverages.Clear()
+	f.answerTimes.Clear()
 	f.paces.Clear()
 }
 
@@ -281,6 +286,9 @@
 		timeout = min(timeout, req.TimeLimit)
 	}
 	t.deadline = req.ArrivedAt + timeout
+	if now := f.deps.Telemetry.Clock.Now(); !t.canFinish(now) {
+		return t, &Refusal{Status: http.StatusServiceUnavailable, Reason: stoppingReason, RetryAfter: jitter(shortRetryAfter)}
+	}
 	if req.ChooseModel {
 		t.model = t.chooseFirstModel()
 	}
@@ -324,6 +332,7 @@
 		f.log(t, "request refused", status, refusal.Reason)
 		return
 	}
+	f.answerTime(t).add(float64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
 	f.log(t, "request answered", status, "")
 }
 
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -140,7 +140,7 @@
 		},
 		AwaitCurrent:  func(context.Context) bool { return e.stoodStill.CompareAndSwap(true, false) },
 		OnServerAlarm: func(a messenger.ServerAlarm) { e.mu.Lock(); e.alarms = append(e.alarms, a); e.mu.Unlock() },
-		OnLongPrefill: func() {}, OnPlacesChanged: func() {}, OnServerRests: func(string) {},
+		OnLongPrefill: func() {}, OnPlacesChanged: func() {}, OnServerRests: func(string) {}, StopsAt: func() timer.Millis { return 0 },
 	})
 	route.Name, route.Host, route.PathPrefix, route.AuthExempt = "r", "h", "/", true
 	if route.Timeout == 0 {
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -55,6 +55,9 @@
 			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
 			return s, nil
 		}
+		if t.f.isAboutToStop(now) {
+			return nil, t.noServerRefusal(stoppingReason)
+		}
 		opensAt := t.restsUntil(now)
 		if t.writer.status == 0 && now > max(waitUntil, opensAt, t.awaitsRestUntil+rationer.ReturnSpan) || now >= t.deadline || !t.canAwait(opensAt) {
 			return nil, t.noServerRefusal(reason).withRetryAfter(opensAt - now)
--- a/internal/launcher/brittle_return_test.go
+++ b/internal/launcher/brittle_return_test.go
@@ -146,10 +146,13 @@
 	tests := map[string]struct {
 		brittlePattern
 		servers int
+		// stopsControl stops one of the control instances, which keep the ledgers of the servers.
+		stopsControl bool
 	}{
-		"few places":                   {brittlePattern{4, 4, 12, 60 * time.Millisecond, true, 3}, 4},
-		"many instances, few refusals": {brittlePattern{6, 3, 5, 60 * time.Millisecond, true, 10}, 4},
-		"long work":                    {brittlePattern{12, 4, 20, 700 * time.Millisecond, true, 6}, 4},
+		"few places":                   {brittlePattern{4, 4, 12, 60 * time.Millisecond, true, 3}, 4, false},
+		"many instances, few refusals": {brittlePattern{6, 3, 5, 60 * time.Millisecond, true, 10}, 4, false},
+		"long work":                    {brittlePattern{12, 4, 20, 700 * time.Millisecond, true, 6}, 4, false},
+		"a control instance stops":     {brittlePattern{6, 3, 5, 60 * time.Millisecond, true, 10}, 4, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -182,6 +185,12 @@
 				time.Sleep(time.Second)
 				hosts[i].crash <- struct{}{}
 			}
+			if tt.stopsControl {
+				if err := d.control[0].Stop(); err != nil {
+					t.Error(err)
+				}
+				d.control[0] = nil
+			}
 			for time.Since(start) < loadTime {
 				time.Sleep(time.Second)
 				falls, refused, served := totals(hosts)
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -71,6 +71,8 @@
 	ready          *listener
 	metrics        *listener
 	stopping       atomic.Bool
+	// stopsAt is when requests in flight are aborted, in milliseconds; 0 before a stop.
+	stopsAt atomic.Int64
 }
 
 // NewEntry builds an entry instance; an error names the invalid setting or address.
@@ -99,6 +101,7 @@
 		AwaitCurrent:  func(ctx context.Context) bool { return e.subscriber.AwaitCurrent(ctx) },
 		OnServerAlarm: func(a messenger.ServerAlarm) { e.subscriber.ReportServerAlarm(a) },
 		OnLongPrefill: func() { e.subscriber.SendPrefillNow() }, OnPlacesChanged: func() { e.subscriber.ClaimPlaces() },
+		StopsAt:       func() timer.Millis { return timer.Millis(e.stopsAt.Load()) },
 		OnServerRests: func(address string) { e.tunnels.DrainServer(address) },
 	})
 	e.subscriber = subscriber.NewSubscriber(subscriber.Deps{
@@ -221,6 +224,7 @@
 // flight and stops the instance.
 func (e *Entry) Stop() error {
 	stopStart := e.telemetry.Clock.Now()
+	e.stopsAt.Store(int64(stopStart + e.settings.Stop.Limit - stopReserve))
 	e.stopping.Store(true)
 	e.subscriber.SetGateway("")
 	e.telemetry.Log.Info("entry instance stops", "running", e.forwarder.InFlight(), "limit", e.settings.Stop.Limit)
