--- a/internal/allotter/ledger_test.go
+++ b/internal/allotter/ledger_test.go
@@ -18,9 +18,9 @@
 	isGrant   bool
 }
 
-// request is a request of an instance: it waits until startedAt, and runs until endsAt.
+// request is a request of an instance, which runs until endsAt once it has a place.
 type request struct {
-	arrivedAt, startedAt, endsAt timer.Millis
+	arrivedAt, endsAt timer.Millis
 }
 
 // instanceRun is an entry instance in virtual time.
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -132,12 +132,8 @@
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
 		return nil, err
 	}
-	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: telemetry, Dial: dial, IsServer: e.forwarder.IsServer, ReachesAnother: e.paths.ReachesAnother,
-		IsCutOff: e.paths.IsCutOff, RestLeft: e.forwarder.RestLeft, OnRest: e.forwarder.RestServer})
-	if settings.Listen.Tunnels != "" {
-		if e.tunnelListener, err = e.listen(settings.Listen.Tunnels, e.tunnels); err != nil {
-			return nil, err
-		}
+	if err = e.buildTunnels(dial); err != nil {
+		return nil, err
 	}
 	if settings.Listen.Metrics != "" {
 		e.metrics, err = e.listen(settings.Listen.Metrics, observer.MetricsHandler(telemetry))
@@ -145,6 +141,18 @@
 	return e, err
 }
 
+// buildTunnels builds the handler that relays connections of other instances, and its listener if the settings name an address.
+func (e *Entry) buildTunnels(dial func(context.Context, string) (net.Conn, error)) error {
+	e.tunnels = tunneler.NewHandler(tunneler.HandlerDeps{Telemetry: e.telemetry, Dial: dial, IsServer: e.forwarder.IsServer, ReachesAnother: e.paths.ReachesAnother,
+		IsCutOff: e.paths.IsCutOff, RestLeft: e.forwarder.RestLeft, OnRest: e.forwarder.RestServer})
+	if e.settings.Listen.Tunnels == "" {
+		return nil
+	}
+	var err error
+	e.tunnelListener, err = e.listen(e.settings.Listen.Tunnels, e.tunnels)
+	return err
+}
+
 // answerLimits returns the limits of what one backend server may send.
 func answerLimits(s configurer.Settings) exchanger.Limits {
 	return exchanger.Limits{
--- a/internal/registrar/member_check.go
+++ b/internal/registrar/member_check.go
@@ -27,9 +27,8 @@
 			return trace.BadParameter("the %s %q is not 1 to %d printable characters", field, text, maxNameChars)
 		}
 	}
-	address, err := netip.ParseAddrPort(m.Address)
 	switch {
-	case err != nil || address.Port() == 0 || address.Addr().Zone() != "" || address.Addr().IsUnspecified():
+	case !isDialable(m.Address):
 		return trace.BadParameter("the address %q is no IP literal with a port from 1 to 65535", m.Address)
 	case m.Slots < 1 || m.Slots > maxCapacity:
 		return trace.BadParameter("%d slots are not between 1 and %d", m.Slots, maxCapacity)
@@ -45,6 +44,12 @@
 	return nil
 }
 
+// isDialable reports whether an address is an IP literal with a port that a connection can be opened to.
+func isDialable(s string) bool {
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && address.Port() != 0 && address.Addr().Zone() == "" && !address.Addr().IsUnspecified()
+}
+
 // isPlainText reports whether a name is text that can be logged, sent in a header and encoded. A decoder puts the replacement
 // character in the place of bytes that are no text.
 func isPlainText(s string) bool {
--- a/internal/steward/places.go
+++ b/internal/steward/places.go
@@ -10,6 +10,19 @@
 // an instance that is gone come back.
 const placeInterval = 50 * timer.Millisecond
 
+// applyServerReports handles what an entry instance reports about backend servers in trouble.
+func (s *Steward) applyServerReports(conn *messenger.Link, sender messenger.Greeting, p messenger.Packet) {
+	if len(p.ServerAlarms) > 0 {
+		s.addAlarms(sender.Instance, p.ServerAlarms)
+	}
+	if p.HasRateReports {
+		s.addRateReports(conn, p.RateReports)
+	}
+	if len(p.PlaceClaims) > 0 {
+		s.addPlaceClaims(conn, p.PlaceClaims)
+	}
+}
+
 // addPlaceClaims applies the claims of an entry instance for places of brittle servers, and answers. Claims for a server whose
 // ledger another control instance keeps get no answer: two keepers would give the same places away.
 func (s *Steward) addPlaceClaims(conn *messenger.Link, claims []allotter.Claim) {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -315,15 +315,7 @@
 	if p.SyncRequest > 0 {
 		conn.Send(messenger.Packet{SyncReply: p.SyncRequest})
 	}
-	if len(p.ServerAlarms) > 0 {
-		s.addAlarms(sender.Instance, p.ServerAlarms)
-	}
-	if p.HasRateReports {
-		s.addRateReports(conn, p.RateReports)
-	}
-	if len(p.PlaceClaims) > 0 {
-		s.addPlaceClaims(conn, p.PlaceClaims)
-	}
+	s.applyServerReports(conn, sender, p)
 	s.forwardEvidence(p)
 	s.forwardOldVersionSessions(p.OldVersionSessions)
 }
