Let a stream that has begun wait for the end of a rest

Its caller has a part of the answer already, so it waits as long as its deadline allows, as it does for a free slot (TestStreamGoesOnAfterARest fails before). Claims are bounded before they are added up: an instance of another build may send any number.

--- a/internal/allotter/ledger.go
+++ b/internal/allotter/ledger.go
@@ -20,6 +20,8 @@
 	minSlotsWithSpare = 4
 	// refusalWindow is the time in which a server bears a number of refusals.
 	refusalWindow = timer.Second
+	// maxPlaces bounds the places of one server, and those that one instance claims.
+	maxPlaces = 100_000
 	// forgetTime is how long a ledger that nobody holds or wants places of is kept.
 	forgetTime = timer.Minute
 )
@@ -70,13 +72,15 @@
 
 // Claim applies the claim of an instance; Settle returns the grants that follow from it.
 func (l *Ledger[H]) Claim(instance H, c Claim, now timer.Millis) {
+	// An instance of another build may send numbers whose sums overflow.
+	c.Slots, c.Held, c.Wanted = min(max(1, c.Slots), maxPlaces), min(max(0, c.Held), maxPlaces), min(max(0, c.Wanted), maxPlaces)
 	id := serverID{c.Server, c.Incarnation}
 	a := l.accounts[id]
 	if a == nil {
 		a = &account[H]{holders: map[H]*holder{}, level: ceiling(c.Slots), levelAt: now, openedAt: now}
 		l.accounts[id] = a
 	}
-	a.slots, a.maxRefusals, a.lastClaimAt = max(1, c.Slots), c.MaxRefusals, now
+	a.slots, a.maxRefusals, a.lastClaimAt = c.Slots, c.MaxRefusals, now
 	a.grow(now)
 	h := a.holders[instance]
 	if h == nil {
@@ -88,7 +92,7 @@
 		return
 	}
 	if n := c.Refusals - h.refusals; n > 0 {
-		a.recordRefusals(n, now)
+		a.recordRefusals(min(n, maxPlaces), now)
 	}
 	h.refusals = c.Refusals
 	if c.Reduced > h.raisedAt {
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -59,7 +59,9 @@
 			return nil, t.noServerRefusal(stoppingReason)
 		}
 		opensAt := t.restsUntil(now)
-		if t.writer.status == 0 && now > max(waitUntil, opensAt, t.awaitsRestUntil+rationer.ReturnSpan) || now >= t.deadline || !t.canAwait(opensAt) {
+		isTooLate := now > max(waitUntil, opensAt, t.awaitsRestUntil+rationer.ReturnSpan)
+		// A stream that has begun waits as long as it can: its caller has a part of the answer.
+		if now >= t.deadline || t.writer.status == 0 && (isTooLate || !t.canAwait(opensAt)) {
 			return nil, t.noServerRefusal(reason).withRetryAfter(opensAt - now)
 		}
 		t.claimPlace(now)
--- a/internal/forwarder/rest_test.go
+++ b/internal/forwarder/rest_test.go
@@ -161,6 +161,28 @@
 	}
 }
 
+// Guards against a stream that is broken off in its middle because many requests wait for the end of a rest.
+func TestStreamGoesOnAfterARest(t *testing.T) {
+	first := &fakeServer{}
+	second := &fakeServer{respond: func(_ int, r *http.Request, w io.Writer) bool {
+		return write(w, streamHead(r.Header.Get("Id"), "")+chunk(event(2))+streamEnd)
+	}}
+	env := newTestEnv(t, matcher.Route{Kind: matcher.KindStreaming, Resumable: true}, map[string]*fakeServer{"first": first, "second": second})
+	env.connect = env.connectTCP
+	env.f.serversByName["second"].DataCentre = "b"
+	first.respond = func(_ int, r *http.Request, w io.Writer) bool {
+		write(w, streamHead(r.Header.Get("Id"), "")+chunk(event(1)))
+		env.rest("first", 10*timer.Second)
+		env.rest("second", 500*timer.Millisecond)
+		return false
+	}
+	env.f.awaitingRest("s").Add(100)
+	rec, broken := env.serve(Request{PromptTokens: 300})
+	if got := rec.Body.String(); broken || got != event(1)+event(2) {
+		t.Fatalf("broken off %t, got %q; want both events", broken, got)
+	}
+}
+
 // Guards against a server that is blamed because it asks for a rest, and against a rest that outlives its server.
 func TestRestIsNoFaultAndEndsWithItsServer(t *testing.T) {
 	env, _, target := newRollOutEnv(t, applier.RollOutRunning, 0.9)
