--- a/internal/allotter/ledger_test.go
+++ b/internal/allotter/ledger_test.go
@@ -29,6 +29,7 @@
 	waiting, running []*request
 	// incarnation differs for each start of the instance.
 	incarnation int
+	served      int
 }
 
 // fleet is entry instances before one server with a ledger, in virtual time. Messages of one direction keep their order.
@@ -95,11 +96,11 @@
 		}
 		f.ledger.Claim(f.key(m.instance), m.claim, f.now)
 	}
-	for key, grants := range f.ledger.Settle(f.now) {
-		for i := range f.instances {
-			if f.key(i) == key {
-				f.post(message{instance: i, grant: grants[0], isGrant: true})
-			}
+	grants := f.ledger.Settle(f.now)
+	// In a fixed order, so that a seed gives one run.
+	for i := range f.instances {
+		if list := grants[f.key(i)]; len(list) > 0 {
+			f.post(message{instance: i, grant: list[0], isGrant: true})
 		}
 	}
 }
@@ -113,6 +114,7 @@
 			isOver := f.now >= r.endsAt
 			if isOver {
 				f.served++
+				in.served++
 				in.places.Return(f.now)
 			}
 			return isOver
@@ -214,10 +216,12 @@
 	}
 	least, most := 1<<30, 0
 	for _, in := range f.instances {
-		least, most = min(least, len(in.waiting)), max(most, len(in.waiting))
+		least, most = min(least, in.served), max(most, in.served)
 	}
-	if most-least > 100 {
-		t.Fatalf("from %d to %d requests wait at the instances, want about as many at each", least, most)
+	t.Logf("%d served, %d to %d by instance", f.served, least, most)
+	// All instances want places all the time, so each gets its turns; the work of a request is random.
+	if 3*least < 2*most {
+		t.Fatalf("from %d to %d requests of the instances were served, want about as many of each", least, most)
 	}
 }
 
