Log why an attempt is given up, and when statistics of routes are dropped

The log had only 'the response stalled' and the time since the request was sent, for five limits. It could not tell a server that is silent alone from one that is as silent as all others, nor a limit that was short because the usual time was not known. 'attempt given up' says which limit was reached, what was known of the usual time, and how many other servers with a request of this instance were silent for as long. The limits moved from stream.go and plain.go to patience.go; none of them changes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -103,7 +103,7 @@
 
 // send makes one attempt and reads the header of the response. If a reused connection breaks after the request was
 // written, the server may have run the request: the outcome is attemptUnknown.
-func (t *task) send(ctx context.Context, s *server, keepWaiting func(timer.Millis) bool) (*exchange, attemptOutcome) {
+func (t *task) send(ctx context.Context, s *server, policy waitPolicy) (*exchange, attemptOutcome) {
 	now := t.f.deps.Telemetry.Clock.Now()
 	x := &exchange{server: s, sentAt: now}
 	// A copy of the response to an earlier attempt bears the same id, so no connection carries two attempts of a request.
@@ -136,7 +136,7 @@
 	if err := c.Write(req); err != nil {
 		return t.abortAttempt(x, err)
 	}
-	res, err := c.ReadResponse(req, t.f.deps.Codec.ParseResponse, t.firstByteWait(x, keepWaiting))
+	res, err := c.ReadResponse(req, t.f.deps.Codec.ParseResponse, t.firstByteWait(x, policy))
 	if err != nil {
 		return t.abortAttempt(x, err)
 	}
@@ -168,7 +168,9 @@
 func (t *task) begin(ctx context.Context, x *exchange, c *exchanger.Conn) {
 	s := x.server
 	x.conn, x.isDetour = c, c.IsDetour()
-	s.inFlight.Add(1)
+	if s.inFlight.Add(1) == 1 {
+		s.busySince.Store(int64(t.f.deps.Telemetry.Clock.Now()))
+	}
 	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
 	x.prefill = x.pendingPrefill
 	s.prefillQueue.add(x.urgency, x.pendingPrefill)
@@ -203,17 +205,17 @@
 	return a
 }
 
-// responsePollInterval is the time between calls of keepWaiting while a server has not responded.
+// responsePollInterval is the time between calls of a waitPolicy while a server has not responded.
 const responsePollInterval = 100 * timer.Millisecond
 
-// firstByteWait waits for the first byte of a response while keepWaiting returns true; keepWaiting receives the time
-// since the request was sent, in milliseconds. A nil keepWaiting waits until the end of the context closes the
-// connection.
-func (t *task) firstByteWait(x *exchange, keepWaiting func(timer.Millis) bool) exchanger.Wait {
-	if keepWaiting == nil {
+// waitPolicy reports whether an attempt waits longer for the first byte of its response; nil waits until the end of the
+// context closes the connection.
+type waitPolicy func(x *exchange, now timer.Millis) bool
+
+// firstByteWait waits for the first byte of a response as long as the policy allows.
+func (t *task) firstByteWait(x *exchange, policy waitPolicy) exchanger.Wait {
+	if policy == nil {
 		return nil
 	}
-	return func(now timer.Millis) (timer.Millis, bool) {
-		return now + responsePollInterval, keepWaiting(now - x.sentAt)
-	}
+	return func(now timer.Millis) (timer.Millis, bool) { return now + responsePollInterval, policy(x, now) }
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,6 +154,8 @@
 	f.firstByteAverages.Clear()
 	f.answerTimes.Clear()
 	f.paces.Clear()
+	f.deps.Telemetry.Counter("routes.statistics-dropped").Inc(1)
+	f.deps.Telemetry.Log.Info("statistics of all routes dropped")
 }
 
 // Ready reports whether requests can be served.
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -6,15 +6,10 @@
 	"net/http"
 	"syscall"
 
-	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/pathfinder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// plainWaitPercent is the part of the time target after which an idempotent request is retried at another server, in
-// percent.
-const plainWaitPercent = 90
-
 // runPlain serves a request with a response that is not a stream.
 func (t *task) runPlain(ctx context.Context) *Refusal {
 	for {
@@ -34,19 +29,6 @@
 	}
 }
 
-// plainWaitPolicy abandons an attempt of an idempotent request at a server that has not responded, while another attempt is
-// allowed; nil waits until the deadline.
-func (t *task) plainWaitPolicy() func(timer.Millis) bool {
-	if t.route.Kind != matcher.KindIdempotent {
-		return nil
-	}
-	limit := t.route.TargetLatency * plainWaitPercent / 100
-	// The attempt is counted when it is sent, after this call.
-	return func(since timer.Millis) bool {
-		return since < limit || t.attempts >= t.route.MaxAttempts || !t.f.retryBudget.hasToken()
-	}
-}
-
 // relayPlain reads the complete response and sends it to the caller; done means that no other attempt is needed.
 func (t *task) relayPlain(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -51,6 +51,8 @@
 	places       allotter.Places
 	// lastByte is the time of the last read from the server, in milliseconds.
 	lastByte atomic.Int64
+	// busySince is when this instance last had its first request in flight there, in milliseconds.
+	busySince atomic.Int64
 	// alarmedAt is the time of the last alarm about the server that this instance reported, in milliseconds.
 	alarmedAt atomic.Int64
 	// onPace and offPace count the answers at the usual pace and the slow ones during roll-outs.
@@ -109,6 +111,11 @@
 	return own + max(0, others)
 }
 
+// silence returns the time since the last byte from the server, in milliseconds.
+func (s *server) silence(now timer.Millis) timer.Millis {
+	return now - timer.Millis(s.lastByte.Load())
+}
+
 // occupancy returns what is known about the server's places.
 func (s *server) occupancy(load int, now timer.Millis) rationer.Occupancy {
 	s.mu.Lock()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -12,22 +12,6 @@
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-const (
-	// deadTimeout is the time without a byte from a server on any connection of this instance after which a waiting
-	// stream is moved.
-	deadTimeout = 700 * timer.Millisecond
-	// loneWaitPercent is the part of the time target, in percent, that a stream waits at a server where this instance has
-	// no other request: in a large fleet that is the rule, and silence alone does not show that the server is dead. An
-	// alarm of another instance does.
-	loneWaitPercent = 50
-	// firstEventFactor is the multiple of the time target that a stream waits for its first event if the server
-	// responds to other requests.
-	firstEventFactor = 3
-	// gapFactor is the multiple of the gap target that a stream waits for its next event if the server responds to
-	// other requests.
-	gapFactor = 2
-)
-
 // runStream relays a stream event by event and resumes it at another server if the route allows that.
 func (t *task) runStream(ctx context.Context) *Refusal {
 	for {
@@ -47,57 +31,6 @@
 	}
 }
 
-// streamWaitPolicy abandons an attempt if its server responds to no request at all, or does not respond to this one
-// for a long time.
-func (t *task) streamWaitPolicy(s *server) func(timer.Millis) bool {
-	if !t.route.IsRetryable() {
-		return nil
-	}
-	// Computed before sending: afterwards prefixTracker assumes that the server caches the shared parts, and
-	// prefillTime leaves them out.
-	expectedWait := timer.Millis(s.prefillQueue.waitFor(t.urgency(s), t.f.deps.Telemetry.Clock.Now()) + t.prefillTime(s))
-	return func(since timer.Millis) bool {
-		if t.attempts >= t.route.MaxAttempts || !t.f.retryBudget.hasToken() {
-			return true
-		}
-		now := t.f.deps.Telemetry.Clock.Now()
-		silence := min(since, now-timer.Millis(s.lastByte.Load()))
-		silenceLimit := max(deadTimeout, t.f.expectedFirstByte(t)*3/2)
-		if s.inFlight.Load() <= 1 {
-			// No other request is in flight that the server could respond to during the prefill.
-			silenceLimit = max(silenceLimit, moveFactor*expectedWait)
-			if suspended, _ := s.availability(now); !suspended {
-				silenceLimit = max(silenceLimit, t.route.TargetLatency*loneWaitPercent/100)
-			}
-		}
-		return silence < silenceLimit && since < firstEventFactor*t.route.TargetLatency && !t.isStuck(s, since, now)
-	}
-}
-
-const (
-	// stuckPercent is the part of the time target, in percent, after which a prompt that others overtake may move.
-	stuckPercent = 60
-	// maxMoveQueue is the longest prefill queue, in milliseconds, at a server that a prompt moves to: the move must
-	// save time.
-	maxMoveQueue = 100.0
-	// moveFactor is the multiple of the expected wait at the other server that a prompt waits before it moves: a move
-	// discards the prefill done so far, and very long prompts take more time than their length suggests.
-	moveFactor = 2
-)
-
-// isStuck reports whether a prompt has waited far longer than it would at another server.
-func (t *task) isStuck(s *server, since, now timer.Millis) bool {
-	if t.writer.status != 0 || since*100 < t.route.TargetLatency*stuckPercent {
-		return false
-	}
-	other := t.cheapestServer(t.candidates(now), now, false)
-	if other == nil || other.Name == s.Name || other.ration.Pressure(now) >= 1 {
-		return false
-	}
-	queueWait := other.prefillQueue.waitFor(t.urgency(other), now)
-	return queueWait < maxMoveQueue && float64(since) > moveFactor*(queueWait+t.prefillTime(other))
-}
-
 // relayStream sends the events of one attempt to the caller; done means that no other attempt is needed.
 func (t *task) relayStream(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
@@ -157,7 +90,7 @@
 // relayEvents sends each event to the caller as soon as it is complete; it returns nil at the regular end of the
 // stream. The ids of events increase, and the events of a continuation must follow those that the caller has.
 func (t *task) relayEvents(x *exchange, isContinuation bool) error {
-	reader := x.res.Events(t.eventWait())
+	reader := x.res.Events(t.eventWait(x))
 	defer reader.Free()
 	// lastID is the id of the last event of this attempt.
 	lastID := ""
@@ -203,18 +136,3 @@
 	}
 	return nil
 }
-
-// eventWait bounds the wait for the next event while another server could go on with the stream. Otherwise, a late event
-// is better than none.
-func (t *task) eventWait() exchanger.EventWait {
-	return func(lastEventAt, now timer.Millis, hasEvents bool) (timer.Millis, bool) {
-		timeout := gapFactor * t.route.TargetGap
-		if !hasEvents || timeout == 0 {
-			timeout = firstEventFactor * t.route.TargetLatency
-		}
-		if due := lastEventAt + timeout; now < due {
-			return due, true
-		}
-		return now + timeout, !t.canRetryRun()
-	}
-}
