Take the token of a retry where the retry is decided

Callers saw streams broken off though other servers would have gone on with them: several requests looked at the last token of the retry budget at the same moment, all of them ended their attempts, and one got the token. Check and withdrawal were apart (canRetry and the wait policies, countAttempt). Now a request that decides to leave its server has the token of its next attempt, keeps it until that is sent, and gives it back if it never is. Before, TestLastRetryIsTakenOnce let 50 of 50 requests go on one token.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -36,7 +36,7 @@
 		t.logSkippedEscalation(x, "the attempt limit is reached", escalationEstimate{})
 		return false
 	}
-	if !t.f.retryBudget.hasToken() {
+	if !t.takeRetry() {
 		t.logSkippedEscalation(x, "the retry budget is exhausted", escalationEstimate{})
 		return false
 	}
@@ -62,6 +62,7 @@
 		best.ration.Refund()
 		t.returnPlace(best)
 	}
+	t.giveBackRetry()
 	t.model, t.tried = current, tried
 	t.logSkippedEscalation(x, "the delay at the larger model outweighs the low confidence", estimate)
 	return false
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -156,12 +156,11 @@
 	return x, attemptResponded
 }
 
-// countAttempt counts an attempt against the attempt limit and the retry budget. A server that accepts no connection
-// gets no request, so it is not counted.
+// countAttempt counts an attempt against the attempt limit and uses its token of the retry budget. A server that accepts no
+// connection gets no request, so it is not counted.
 func (t *task) countAttempt() {
-	if t.attempts++; t.attempts > 1 {
-		t.f.retryBudget.withdraw()
-	}
+	t.attempts++
+	t.hasRetryToken = false
 }
 
 // begin registers the attempt at its server.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -203,7 +203,9 @@
 	attempts, failedDials int
 	// mayHaveRun is true if some backend server may have run the request.
 	mayHaveRun bool
-	model      string
+	// hasRetryToken is true if the next attempt has its token of the retry budget.
+	hasRetryToken bool
+	model         string
 	// confidence is the model's confidence in its response, from 0 to 100; -1 if unknown.
 	confidence int
 	// version is the version that serves the request; it stays the same for a stream that has begun.
@@ -242,6 +244,7 @@
 		defer cancel()
 		f.retryBudget.deposit()
 		refusal = t.run(ctx)
+		t.giveBackRetry()
 	}
 	f.finish(ctx, t, refusal)
 }
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -72,11 +72,8 @@
 	// prefillTime leaves them out.
 	expectedWait := timer.Millis(s.prefillQueue.waitFor(t.urgency(s), t.f.deps.Telemetry.Clock.Now()) + t.prefillTime(s))
 	return func(x *exchange, now timer.Millis) bool {
-		if t.attempts >= t.route.MaxAttempts || !t.f.retryBudget.hasToken() {
-			return true
-		}
 		d := t.streamDelay(s, now-x.sentAt, now, expectedWait)
-		return d.reason == "" || t.giveUp(x, d, now)
+		return d.reason == "" || !t.canRetryRun() || t.giveUp(x, d, now)
 	}
 }
 
@@ -125,7 +122,7 @@
 	// The attempt is counted when it is sent, after this call.
 	return func(x *exchange, now timer.Millis) bool {
 		d := checkLimit(delayFirstByte, now-x.sentAt, limit)
-		return d.reason == "" || t.attempts >= t.route.MaxAttempts || !t.f.retryBudget.hasToken() || t.giveUp(x, d, now)
+		return d.reason == "" || !t.canRetryRun() || t.giveUp(x, d, now)
 	}
 }
 
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -81,7 +81,7 @@
 }
 
 // canRetry reports whether the request may be sent again: it is idempotent or has not run, and its attempt limit, its
-// deadline and the retry budget allow another attempt.
+// deadline and the retry budget allow another attempt, whose token it has then.
 func (t *task) canRetry() bool {
 	return (!t.mayHaveRun || t.route.IsRetryable()) && t.hasAttemptLeft()
 }
@@ -93,7 +93,7 @@
 
 func (t *task) hasAttemptLeft() bool {
 	return t.attempts < t.route.MaxAttempts && t.failedDials < maxFailedDials &&
-		t.f.deps.Telemetry.Clock.Now() < t.deadline && t.f.retryBudget.hasToken()
+		t.f.deps.Telemetry.Clock.Now() < t.deadline && t.takeRetry()
 }
 
 // canDialAgain reports whether a request that no server has got may be sent to another one.
--- a/internal/forwarder/retry_budget.go
+++ b/internal/forwarder/retry_budget.go
@@ -31,20 +31,23 @@
 // maxDeposits caps the first attempts that the balance can hold: about one retry window of traffic at one instance.
 const maxDeposits = 60
 
-// hasToken reports whether a retry may be sent.
-func (b *retryBudget) hasToken() bool {
+// take takes the token of one retry, and reports whether there was one.
+func (b *retryBudget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill()
-	return b.tokens >= 1
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
 }
 
-// withdraw takes the token of one retry.
-func (b *retryBudget) withdraw() {
+// giveBack returns the token of a retry that was not sent.
+func (b *retryBudget) giveBack() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill()
-	b.tokens--
+	b.tokens++
 }
 
 // refill adds tokens at a rate of RetryBurst per RetryWindow, up to RetryBurst.
@@ -56,3 +59,20 @@
 	}
 	b.refilledAt = now
 }
+
+// takeRetry takes a token of the retry budget for the next attempt, unless the request has one, and reports whether it has one.
+// Requests that only looked at the budget would all count on its last token.
+func (t *task) takeRetry() bool {
+	if t.attempts > 0 && !t.hasRetryToken {
+		t.hasRetryToken = t.f.retryBudget.take()
+	}
+	return t.attempts == 0 || t.hasRetryToken
+}
+
+// giveBackRetry returns the token of an attempt that was not made.
+func (t *task) giveBackRetry() {
+	if t.hasRetryToken {
+		t.hasRetryToken = false
+		t.f.retryBudget.giveBack()
+	}
+}
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
@@ -111,8 +115,7 @@
 	retries := 0
 	for range 100 {
 		b.deposit()
-		for b.hasToken() {
-			b.withdraw()
+		for b.take() {
 			retries++
 		}
 	}
@@ -120,11 +123,33 @@
 		t.Fatalf("100 requests allowed %d retries, want at most 53", retries)
 	}
 	now += 10 * timer.Second
-	if !b.hasToken() {
+	if !b.take() {
 		t.Fatal("the slack was not restored within a window")
 	}
 }
 
+// Guards against requests that all count on the last token of the budget, and end an attempt for a retry that only one of them gets.
+func TestLastRetryIsTakenOnce(t *testing.T) {
+	const requests = 50
+	b := newRetryBudget(Config{RetryBurst: 1, RetryWindow: timer.Hour}, func() timer.Millis { return 0 })
+	f := &Forwarder{retryBudget: b, deps: Deps{Telemetry: observer.NewDiscard(timer.NewSystemClock())}}
+	var taken atomic.Int64
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			task := &task{f: f, attempts: 1, deadline: math.MaxInt64, route: &matcher.Route{Kind: matcher.KindIdempotent, MaxAttempts: 3}}
+			// A request that has taken the token keeps it until its next attempt.
+			if task.canRetryRun() && task.canRetry() {
+				taken.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if n := taken.Load(); n != 1 {
+		t.Fatalf("%d of %d requests may be sent again with one token", n, requests)
+	}
+}
+
 func TestServerIsSuspendedAfterConsecutiveFailures(t *testing.T) {
 	s := newServer(registrar.Member{Name: "s"}, &rationer.Service{}, exchanger.Deps{})
 	s.recordFailure(0, true)
