Give an attempt up only once another server has taken the request

Callers saw streams of sound servers broken off, and plain requests without an answer, while their servers were still at work: an attempt that took too long was ended first, and a server was looked for afterwards. Where the others were full, each refusal used up an attempt, and the answer was broken off.

Now an attempt that exceeds a limit goes on while the next one starts: at a server that has room, with its token of the retry budget and an attempt left. The first is given up when the second has answered, or has not refused for 250 ms. If it refuses, or there is no place, token or attempt, the first one is waited for; if it goes on, the second is cancelled. A refusal uses up no attempt of a stream that has begun.

--- a/internal/exchanger/body.go
+++ b/internal/exchanger/body.go
@@ -22,9 +22,8 @@
 const initialBodyBytes = 4 << 10
 
 // ReadBody reads the whole body. A body without a length or chunks is complete when its connection is closed, and
-// incomplete when it is reset: the protocol offers no other sign. A body that stalls is given up if mayGiveUp, which is
-// asked then, returns true. An error means that the body is incomplete or exceeds a limit.
-func (r *Response) ReadBody(mayGiveUp func() bool) (Body, error) {
+// incomplete when it is reset: the protocol offers no other sign. A body that stalls is waited for as stalled says. An error means that the body is incomplete or exceeds a limit.
+func (r *Response) ReadBody(stalled Wait) (Body, error) {
 	c := r.conn
 	if r.Header.Get("Content-Encoding") != "" {
 		return Body{}, ErrEncoded
@@ -34,7 +33,7 @@
 	}
 	b := &buffer{memory: c.memory}
 	c.source.left = unbounded
-	c.source.wait = c.bodyWait(b, mayGiveUp)
+	c.source.wait = c.bodyWait(b, stalled)
 	err := c.readInto(b, r.Body, max(initialBodyBytes, int(r.ContentLength)+1))
 	if err == nil && isUnframed(r.Response) && joinedHeadAt(b.bytes) >= 0 {
 		err = ErrTwoHeads
@@ -64,16 +63,13 @@
 }
 
 // bodyWait returns a Wait for a body that must arrive at the minimum rate.
-func (c *Conn) bodyWait(b *buffer, mayGiveUp func() bool) Wait {
+func (c *Conn) bodyWait(b *buffer, stalled Wait) Wait {
 	startedAt := c.source.now()
 	return func(now timer.Millis) (timer.Millis, bool) {
 		due := startedAt + c.limits.BodyGrace + timer.Millis(int64(len(b.bytes))*int64(timer.Second)/c.limits.MinBodyRate)
 		if now < due {
 			return due, true
 		}
-		if mayGiveUp() {
-			return 0, false
-		}
-		return now + c.limits.BodyGrace, true
+		return stalled(now)
 	}
 }
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -150,6 +150,20 @@
 	isTied bool
 }
 
+// Await waits for the first byte of a response, at least for a moment, and reports whether ReadResponse need not wait: the byte or the
+// end of the connection has come.
+func (c *Conn) Await(until timer.Millis) bool {
+	c.source.left = c.limits.MaxHeadBytes
+	asked := false
+	c.source.wait = func(now timer.Millis) (timer.Millis, bool) {
+		first := !asked
+		asked = true
+		return until, first || now < until
+	}
+	_, err := c.reader.Peek(1)
+	return !errors.Is(err, ErrStalled)
+}
+
 // ReadResponse reads the head of the response to a request and skips responses that belong to other requests. wait
 // bounds the time to the first byte; nil waits until the connection closes.
 func (c *Conn) ReadResponse(req Request, inspect Inspect, wait Wait) (*Response, error) {
--- a/internal/exchanger/joined_head_test.go
+++ b/internal/exchanger/joined_head_test.go
@@ -115,7 +115,7 @@
 	for name, joined := range joins() {
 		for cut := range len(answer) + 1 {
 			res := respondRaw(t, "HTTP/1.1 200 OK\r\nId: own\r\n\r\n"+answer[:cut]+joined)
-			if body, err := res.ReadBody(func() bool { return true }); err == nil {
+			if body, err := res.ReadBody(giveUp); err == nil {
 				t.Fatalf("%s behind byte %d: complete with %q", name, cut, body.Bytes)
 			}
 		}
@@ -130,7 +130,7 @@
 		t.Errorf("a stream gave %q, %v", text, err)
 	}
 	for name, body := range map[string]string{"a status line": "it answers HTTP/1.1 200 OK\nand no more", "a word": "HTTP/1.1 is old", "a version": "HTTP/1. 200\nA: b"} {
-		got, err := respondRaw(t, "HTTP/1.1 200 OK\r\nId: own\r\n\r\n"+body).ReadBody(func() bool { return true })
+		got, err := respondRaw(t, "HTTP/1.1 200 OK\r\nId: own\r\n\r\n"+body).ReadBody(giveUp)
 		if err != nil || string(got.Bytes) != body {
 			t.Errorf("%s: got %q, %v", name, got.Bytes, err)
 		}
--- a/internal/exchanger/response_test.go
+++ b/internal/exchanger/response_test.go
@@ -22,6 +22,9 @@
 	return Info{RequestID: strings.Join(res.Header.Values("Id"), ","), NotRun: res.Header.Get("Refused") != ""}
 }
 
+// giveUp ends the wait for a body that stalls.
+func giveUp(timer.Millis) (timer.Millis, bool) { return 0, false }
+
 // verdict is what a response was taken for.
 type verdict string
 
@@ -55,7 +58,7 @@
 		p.PutAfter(c, res)
 		return notRun, ""
 	}
-	body, err := res.ReadBody(func() bool { return true })
+	body, err := res.ReadBody(giveUp)
 	if err != nil {
 		_ = c.Close()
 		return broken, ""
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -30,14 +30,21 @@
 	attemptOutdated
 	// attemptResponded: the status line and header of a response have arrived.
 	attemptResponded
+	// attemptPending: the request was sent, and its response is awaited.
+	attemptPending
 )
 
 // exchange is one attempt at one server.
 type exchange struct {
-	server *server
-	conn   *exchanger.Conn
-	res    *exchanger.Response
-	sentAt timer.Millis
+	server  *server
+	conn    *exchanger.Conn
+	request exchanger.Request
+	res     *exchanger.Response
+	sentAt  timer.Millis
+	// delay is the limit for which another server is asked to take over. Before patientUntil none is asked, since none took the
+	// request.
+	delay        delay
+	patientUntil timer.Millis
 	// firstEventAt is when the first event of a stream arrived; 0 before that.
 	firstEventAt timer.Millis
 	// lastEventAt is when the last event of a stream arrived; gaps are the first gaps between its events, in milliseconds.
@@ -55,8 +62,8 @@
 	// urgency and pendingPrefill are what the request adds to the server's prefill queue until its first event.
 	urgency        int
 	pendingPrefill float64
-	// prefill is the estimated prefill time of the prompt, in milliseconds.
-	prefill float64
+	// prefill is the estimated prefill time of the prompt, and queueWait that of the prompts before it, in milliseconds.
+	prefill, queueWait float64
 	// returnPlace gives the place at the server back; if the response is not complete, the server may go on for a while.
 	returnPlace func(complete bool)
 	// detachContext stops the context from closing the connection; it returns false if that has already happened.
@@ -101,9 +108,37 @@
 	x.returnPlace(complete)
 }
 
-// send makes one attempt and reads the header of the response. If a reused connection breaks after the request was
-// written, the server may have run the request: the outcome is attemptUnknown.
-func (t *task) send(ctx context.Context, s *server, policy waitPolicy) (*exchange, attemptOutcome) {
+// firstByteWait bounds the wait for the first byte of a response; nil waits until the end of the context closes the connection.
+type firstByteWait func(ctx context.Context, x *exchange) exchanger.Wait
+
+// attempt makes the next attempt and reads the header of its response, or goes on with an attempt that was started while the last
+// one was in progress.
+func (t *task) attempt(ctx context.Context, wait firstByteWait) (*exchange, attemptOutcome, *Refusal) {
+	x, outcome := t.next, attemptPending
+	if x != nil {
+		t.next = nil
+		t.recordPlaced(x.server, x.sentAt)
+	} else {
+		s, refusal := t.acquireServer(ctx)
+		if refusal != nil {
+			return nil, attemptNotSent, refusal
+		}
+		x, outcome = t.transmit(ctx, s)
+	}
+	switch {
+	case x.res != nil:
+		outcome = attemptResponded
+	case outcome == attemptPending:
+		outcome = t.readHead(x, wait(ctx, x))
+	}
+	if outcome == attemptResponded {
+		t.confidence = x.res.Info.Confidence
+	}
+	return x, outcome, nil
+}
+
+// transmit sends the request to a server; the outcome is attemptPending if its response can be read.
+func (t *task) transmit(ctx context.Context, s *server) (*exchange, attemptOutcome) {
 	now := t.f.deps.Telemetry.Clock.Now()
 	x := &exchange{server: s, sentAt: now}
 	// A copy of the response to an earlier attempt bears the same id, so no connection carries two attempts of a request.
@@ -128,20 +163,27 @@
 	t.usedConns = append(t.usedConns, c)
 	t.countAttempt()
 	t.begin(ctx, x, c)
-	req := exchanger.Request{ID: t.ID, Method: t.Method, Target: t.Target, Host: t.Host, Body: t.Body,
+	x.request = exchanger.Request{ID: t.ID, Method: t.Method, Target: t.Target, Host: t.Host, Body: t.Body,
 		Header: t.f.deps.Codec.RequestHeader(t.Request, t.newAttempt(s, x.urgency))}
 	x.sentAt = t.f.deps.Telemetry.Clock.Now()
 	x.loadAtSend = s.load(x.sentAt)
 	x.knowledge = s.knowledge(x.sentAt)
-	if err := c.Write(req); err != nil {
-		return t.abortAttempt(x, err)
+	if err := c.Write(x.request); err != nil {
+		return x, t.abortAttempt(x, err)
 	}
-	res, err := c.ReadResponse(req, t.f.deps.Codec.ParseResponse, t.firstByteWait(x, policy))
+	return x, attemptPending
+}
+
+// readHead reads the header of the response to an attempt. If a reused connection breaks after the request was written, the server
+// may have run the request: the outcome is attemptUnknown.
+func (t *task) readHead(x *exchange, wait exchanger.Wait) attemptOutcome {
+	res, err := x.conn.ReadResponse(x.request, t.f.deps.Codec.ParseResponse, wait)
 	if err != nil {
 		return t.abortAttempt(x, err)
 	}
+	s := x.server
 	x.res = res
-	now = t.f.deps.Telemetry.Clock.Now()
+	now := t.f.deps.Telemetry.Clock.Now()
 	s.lastByte.Store(int64(now))
 	x.releasePrefill()
 	if t.PromptTokens > 0 {
@@ -149,11 +191,10 @@
 	}
 	s.updateLoad(res.Info, now)
 	t.recordTerms(x, now)
-	t.confidence = res.Info.Confidence
 	if res.Info.NotRun {
-		return x, attemptNotRun
+		return attemptNotRun
 	}
-	return x, attemptResponded
+	return attemptResponded
 }
 
 // countAttempt counts an attempt against the attempt limit and uses its token of the retry budget. A server that accepts no
@@ -170,8 +211,9 @@
 	if s.inFlight.Add(1) == 1 {
 		s.busySince.Store(int64(t.f.deps.Telemetry.Clock.Now()))
 	}
+	// Before prefixTracker assumes that the server caches the shared parts, which prefillTime then leaves out.
 	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
-	x.prefill = x.pendingPrefill
+	x.prefill, x.queueWait = x.pendingPrefill, s.prefillQueue.waitFor(x.urgency, x.sentAt)
 	s.prefillQueue.add(x.urgency, x.pendingPrefill)
 	if x.pendingPrefill >= longPrefill {
 		t.f.deps.OnLongPrefill()
@@ -188,10 +230,10 @@
 }
 
 // abortAttempt records the error of an attempt and closes its connection.
-func (t *task) abortAttempt(x *exchange, err error) (*exchange, attemptOutcome) {
+func (t *task) abortAttempt(x *exchange, err error) attemptOutcome {
 	x.err = err
 	x.release(false)
-	return x, attemptUnknown
+	return attemptUnknown
 }
 
 // newAttempt returns what is added to the request for the given server.
@@ -203,18 +245,3 @@
 	}
 	return a
 }
-
-// responsePollInterval is the time between calls of a waitPolicy while a server has not responded.
-const responsePollInterval = 100 * timer.Millisecond
-
-// waitPolicy reports whether an attempt waits longer for the first byte of its response; nil waits until the end of the
-// context closes the connection.
-type waitPolicy func(x *exchange, now timer.Millis) bool
-
-// firstByteWait waits for the first byte of a response as long as the policy allows.
-func (t *task) firstByteWait(x *exchange, policy waitPolicy) exchanger.Wait {
-	if policy == nil {
-		return nil
-	}
-	return func(now timer.Millis) (timer.Millis, bool) { return now + responsePollInterval, policy(x, now) }
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -199,8 +199,11 @@
 	claimed map[*server]bool
 	// reserved is the server that has admitted the next attempt already.
 	reserved *server
-	// attempts counts the servers that got the request, and failedDials those that accepted no connection.
-	attempts, failedDials int
+	// next is an attempt that was started while the last one is in progress.
+	next *exchange
+	// attempts counts the servers that got the request, refusals those of them that did not run it, and failedDials those that
+	// accepted no connection.
+	attempts, refusals, failedDials int
 	// mayHaveRun is true if some backend server may have run the request.
 	mayHaveRun bool
 	// hasRetryToken is true if the next attempt has its token of the retry budget.
@@ -244,6 +247,7 @@
 		defer cancel()
 		f.retryBudget.deposit()
 		refusal = t.run(ctx)
+		t.dropNext()
 		t.giveBackRetry()
 	}
 	f.finish(ctx, t, refusal)
--- /dev/null
+++ b/internal/forwarder/handover.go
@@ -0,0 +1,96 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
+
+const (
+	// takeoverTime is how long a server may take to refuse a request that it has no room for; after that it has taken the request.
+	takeoverTime = 250 * timer.Millisecond
+	// takeoverPollInterval is the time between looks at the connection to the next server.
+	takeoverPollInterval = 25 * timer.Millisecond
+	// placePollInterval is the time between looks for a server that takes over.
+	placePollInterval = 250 * timer.Millisecond
+)
+
+// waitForTakeover bounds the wait for more bytes of an attempt that takes too long. It is given up once another server has taken the
+// request; until then it goes on, and the server that answers first is listened to.
+func (t *task) waitForTakeover(ctx context.Context, x *exchange, d delay, now timer.Millis) (until timer.Millis, ok bool) {
+	if t.next == nil && !t.startNext(ctx, x) {
+		x.patientUntil = now + placePollInterval
+		return x.patientUntil, true
+	}
+	x.delay = d
+	n := t.next
+	if !n.conn.Await(t.f.deps.Telemetry.Clock.Now()) {
+		now = t.f.deps.Telemetry.Clock.Now()
+		if now-n.sentAt >= takeoverTime {
+			return now, t.giveUp(x, d, now)
+		}
+		return now + takeoverPollInterval, true
+	}
+	outcome := t.readHead(n, nil)
+	now = t.f.deps.Telemetry.Clock.Now()
+	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices {
+		return now, t.giveUp(x, d, now)
+	}
+	t.next = nil
+	t.recordRefusedTakeover(ctx, n, outcome, now)
+	// The servers with the most room have just been asked.
+	x.patientUntil = now + max(d.limit, placePollInterval)
+	return x.patientUntil, true
+}
+
+// startNext sends the request to a server that has room for it, and reports whether it was sent. The attempt has its token of the
+// retry budget.
+func (t *task) startNext(ctx context.Context, x *exchange) bool {
+	now := t.f.deps.Telemetry.Clock.Now()
+	if !t.canRetryRun() || t.isBlocked() || t.f.isAboutToStop(now) {
+		return false
+	}
+	t.view = t.f.fleetView.Load()
+	t.avoidTarget(x.server)
+	t.tried[x.server.Name] = true
+	s := t.admittedServer(t.candidates(now), now, false)
+	if s == nil {
+		// Servers that were full earlier may have room later.
+		clear(t.tried)
+		t.tried[x.server.Name] = true
+		t.forgetDeclined(now)
+		t.giveBackRetry()
+		return false
+	}
+	t.tried[s.Name] = true
+	n, outcome := t.transmit(ctx, s)
+	if outcome != attemptPending {
+		t.recordRefusedTakeover(ctx, n, outcome, now)
+		return false
+	}
+	t.next = n
+	return true
+}
+
+// recordRefusedTakeover records that a server did not take over a request, which its first server goes on with.
+func (t *task) recordRefusedTakeover(ctx context.Context, n *exchange, outcome attemptOutcome, now timer.Millis) {
+	t.f.deps.Telemetry.Counter("requests.takeovers-refused").Inc(1)
+	if outcome == attemptResponded {
+		t.recordServerError(n, now)
+		n.release(false)
+	} else {
+		// Whether the request may be sent again is decided when the attempt in progress ends.
+		_ = t.handleFailedAttempt(ctx, n, outcome)
+	}
+	t.giveBackRetry()
+}
+
+// dropNext cancels the attempt that was to take over, since the server before it answers.
+func (t *task) dropNext() {
+	if n := t.next; n != nil {
+		t.next = nil
+		n.release(false)
+		t.f.deps.Telemetry.Counter("requests.takeovers-dropped").Inc(1)
+	}
+}
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"context"
+
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -46,12 +48,13 @@
 
 const (
 	// delaySilence: the server has sent nothing to this instance; delayFirstByte and delayFirstEvent: it sends the response late;
-	// delayQueue: another server would have answered by now; delayGap: the stream pauses.
+	// delayQueue: another server would have answered by now; delayGap: the stream pauses; delayBody: a body comes too slowly.
 	delaySilence    = "silence"
 	delayFirstByte  = "first-byte"
 	delayFirstEvent = "first-event"
 	delayQueue      = "queue"
 	delayGap        = "gap"
+	delayBody       = "body"
 )
 
 // checkLimit returns the delay if the waiting time has reached its limit.
@@ -62,27 +65,41 @@
 	return delay{reason: reason, waited: waited, limit: limit}
 }
 
-// streamWaitPolicy abandons an attempt if its server responds to no request at all, or does not respond to this one
-// for a long time.
-func (t *task) streamWaitPolicy(s *server) waitPolicy {
+// responsePollInterval is the time between checks of the limits while a server has not responded.
+const responsePollInterval = 100 * timer.Millisecond
+
+// await bounds a wait by limits that are checked at each poll.
+func (t *task) await(ctx context.Context, x *exchange, check func(now timer.Millis) delay) exchanger.Wait {
+	return func(now timer.Millis) (timer.Millis, bool) {
+		if t.next != nil {
+			return t.waitForTakeover(ctx, x, x.delay, now)
+		}
+		if now < x.patientUntil {
+			return min(now+responsePollInterval, x.patientUntil), true
+		}
+		d := check(now)
+		if d.reason == "" {
+			return now + responsePollInterval, true
+		}
+		return t.waitForTakeover(ctx, x, d, now)
+	}
+}
+
+// streamWait gives an attempt up if its server responds to no request at all, or does not respond to this one for a long time.
+func (t *task) streamWait(ctx context.Context, x *exchange) exchanger.Wait {
 	if !t.route.IsRetryable() {
 		return nil
 	}
-	// Computed before sending: afterwards prefixTracker assumes that the server caches the shared parts, and
-	// prefillTime leaves them out.
-	expectedWait := timer.Millis(s.prefillQueue.waitFor(t.urgency(s), t.f.deps.Telemetry.Clock.Now()) + t.prefillTime(s))
-	return func(x *exchange, now timer.Millis) bool {
-		d := t.streamDelay(s, now-x.sentAt, now, expectedWait)
-		return d.reason == "" || !t.canRetryRun() || t.giveUp(x, d, now)
-	}
+	return t.await(ctx, x, func(now timer.Millis) delay { return t.streamDelay(x, now) })
 }
 
-// streamDelay returns how the server exceeds the limits on the time to the first byte of a stream.
-func (t *task) streamDelay(s *server, since, now, expectedWait timer.Millis) delay {
+// streamDelay returns how an attempt exceeds the limits on the time to the first byte of a stream.
+func (t *task) streamDelay(x *exchange, now timer.Millis) delay {
+	s, since := x.server, now-x.sentAt
 	silenceLimit := max(deadTimeout, t.f.expectedFirstByte(t)*3/2)
 	if s.inFlight.Load() <= 1 {
 		// No other request is in flight that the server could respond to during the prefill.
-		silenceLimit = max(silenceLimit, moveFactor*expectedWait)
+		silenceLimit = max(silenceLimit, moveFactor*timer.Millis(x.queueWait+x.prefill))
 		if suspended, _ := s.availability(now); !suspended {
 			silenceLimit = max(silenceLimit, t.route.TargetLatency*loneWaitPercent/100)
 		}
@@ -112,33 +129,39 @@
 	return queueWait < maxMoveQueue && float64(since) > moveFactor*(queueWait+t.prefillTime(other))
 }
 
-// plainWaitPolicy abandons an attempt of an idempotent request at a server that has not responded, while another attempt is
-// allowed; nil waits until the deadline.
-func (t *task) plainWaitPolicy() waitPolicy {
+// plainWait gives an attempt of an idempotent request up at a server that has not responded.
+func (t *task) plainWait(ctx context.Context, x *exchange) exchanger.Wait {
 	if t.route.Kind != matcher.KindIdempotent {
 		return nil
 	}
 	limit := t.route.TargetLatency * plainWaitPercent / 100
-	// The attempt is counted when it is sent, after this call.
-	return func(x *exchange, now timer.Millis) bool {
-		d := checkLimit(delayFirstByte, now-x.sentAt, limit)
-		return d.reason == "" || !t.canRetryRun() || t.giveUp(x, d, now)
+	return t.await(ctx, x, func(now timer.Millis) delay { return checkLimit(delayFirstByte, now-x.sentAt, limit) })
+}
+
+// bodyWait bounds the wait for the rest of a body that comes too slowly.
+func (t *task) bodyWait(ctx context.Context, x *exchange) exchanger.Wait {
+	if !t.route.IsRetryable() {
+		return func(now timer.Millis) (timer.Millis, bool) { return now + timer.Second, true }
 	}
+	return t.await(ctx, x, func(now timer.Millis) delay { return delay{reason: delayBody, waited: now - x.sentAt} })
 }
 
 // eventWait bounds the wait for the next event while another server could go on with the stream. Otherwise, a late event
 // is better than none.
-func (t *task) eventWait(x *exchange) exchanger.EventWait {
+func (t *task) eventWait(ctx context.Context, x *exchange) exchanger.EventWait {
 	return func(lastEventAt, now timer.Millis, hasEvents bool) (timer.Millis, bool) {
-		reason, timeout := delayGap, gapFactor*t.route.TargetGap
-		if !hasEvents || timeout == 0 {
-			reason, timeout = delayFirstEvent, firstEventFactor*t.route.TargetLatency
+		reason, limit := delayGap, gapFactor*t.route.TargetGap
+		if !hasEvents || limit == 0 {
+			reason, limit = delayFirstEvent, firstEventFactor*t.route.TargetLatency
 		}
-		d := checkLimit(reason, now-lastEventAt, timeout)
-		if d.reason == "" {
-			return lastEventAt + timeout, true
+		due := max(lastEventAt+limit, x.patientUntil)
+		switch {
+		case now < due:
+			return due, true
+		case !t.route.IsRetryable():
+			return now + limit, true
 		}
-		return now + timeout, !t.canRetryRun() || t.giveUp(x, d, now)
+		return t.waitForTakeover(ctx, x, delay{reason: reason, waited: now - lastEventAt, limit: limit}, now)
 	}
 }
 
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -50,9 +50,7 @@
 		s, reason := t.pickServer(now)
 		if s != nil {
 			t.tried[s.Name] = true
-			t.lastServer = s
-			clear(t.declined)
-			t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
+			t.recordPlaced(s, now)
 			return s, nil
 		}
 		if t.f.isAboutToStop(now) {
@@ -78,6 +76,13 @@
 	}
 }
 
+// recordPlaced records the server that has the request now.
+func (t *task) recordPlaced(s *server, now timer.Millis) {
+	t.lastServer = s
+	clear(t.declined)
+	t.f.sessions.set(t.Session, pin{service: s.Service, version: s.Version, server: s.Name, lastUsedAt: now})
+}
+
 // isKeyRevoked reports whether a request that no server has got came with a key that is no longer valid.
 func (t *task) isKeyRevoked() bool {
 	return t.workspace != nil && t.attempts == 0 && t.view.Policy.WorkspaceByKey(t.APIKey) == nil
--- a/internal/forwarder/plain.go
+++ b/internal/forwarder/plain.go
@@ -13,11 +13,10 @@
 // runPlain serves a request with a response that is not a stream.
 func (t *task) runPlain(ctx context.Context) *Refusal {
 	for {
-		s, refusal := t.acquireServer(ctx)
+		x, outcome, refusal := t.attempt(ctx, t.plainWait)
 		if refusal != nil {
 			return refusal
 		}
-		x, outcome := t.send(ctx, s, t.plainWaitPolicy())
 		if outcome == attemptResponded {
 			done, refusal := t.relayPlain(ctx, x)
 			if done {
@@ -32,7 +31,10 @@
 // relayPlain reads the complete response and sends it to the caller; done means that no other attempt is needed.
 func (t *task) relayPlain(ctx context.Context, x *exchange) (done bool, refusal *Refusal) {
 	defer func() { x.release(false) }()
-	body, err := x.res.ReadBody(t.canRetryRun)
+	if x.res.StatusCode < http.StatusMultipleChoices {
+		t.dropNext()
+	}
+	body, err := x.res.ReadBody(t.bodyWait(ctx, x))
 	now := t.f.deps.Telemetry.Clock.Now()
 	if err != nil {
 		t.mayHaveRun = true
@@ -45,13 +47,7 @@
 	x.release(true)
 	took := now - x.sentAt
 	if x.res.StatusCode >= http.StatusInternalServerError {
-		t.mayHaveRun = true
-		if x.res.Info.Rest == 0 {
-			t.recordServerFailure(x.server, now)
-			t.recordBadResponse(x.server)
-		}
-		t.f.deps.Telemetry.Log.Info("server error", "request", t.ID, "server", x.server.Name, "version", x.server.Version,
-			"attempt", t.attempts, "status", x.res.StatusCode, "took-ms", int64(took), "retried", t.canRetry())
+		t.recordServerError(x, now)
 		if t.canRetry() {
 			return false, nil
 		}
@@ -68,6 +64,17 @@
 	return true, nil
 }
 
+// recordServerError records a response that says that the server failed.
+func (t *task) recordServerError(x *exchange, now timer.Millis) {
+	t.mayHaveRun = true
+	if x.res.Info.Rest == 0 {
+		t.recordServerFailure(x.server, now)
+		t.recordBadResponse(x.server)
+	}
+	t.f.deps.Telemetry.Log.Info("server error", "request", t.ID, "server", x.server.Name, "version", x.server.Version,
+		"attempt", t.attempts, "status", x.res.StatusCode, "took-ms", int64(now-x.sentAt), "retried", t.canRetry())
+}
+
 // writeWholeResponse sends a complete response to the caller.
 func (t *task) writeWholeResponse(x *exchange, body []byte, now timer.Millis) {
 	if err := t.writer.writeWhole(x.res.Response, body, now); err != nil {
@@ -92,7 +99,15 @@
 }
 
 func (t *task) hasAttemptLeft() bool {
-	return t.attempts < t.route.MaxAttempts && t.failedDials < maxFailedDials &&
+	if t.next != nil {
+		return true
+	}
+	used := t.attempts
+	if t.writer.status != 0 {
+		// A refusal is no run, and the caller has a part of the answer.
+		used -= t.refusals
+	}
+	return used < t.route.MaxAttempts && t.failedDials < maxFailedDials &&
 		t.f.deps.Telemetry.Clock.Now() < t.deadline && t.takeRetry()
 }
 
@@ -121,6 +136,7 @@
 		clear(t.tried)
 		return nil
 	case attemptNotRun:
+		t.refusals++
 		status := x.res.StatusCode
 		x.server.recordRefusal(now, status)
 		if status == http.StatusServiceUnavailable {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -15,11 +15,10 @@
 // runStream relays a stream event by event and resumes it at another server if the route allows that.
 func (t *task) runStream(ctx context.Context) *Refusal {
 	for {
-		s, refusal := t.acquireServer(ctx)
+		x, outcome, refusal := t.attempt(ctx, t.streamWait)
 		if refusal != nil {
 			return refusal
 		}
-		x, outcome := t.send(ctx, s, t.streamWaitPolicy(s))
 		if outcome == attemptResponded {
 			done, refusal := t.relayStream(ctx, x)
 			if done {
@@ -44,6 +43,7 @@
 		return !t.canRetry(), t.badGatewayRefusal("the stream could not go on elsewhere")
 	}
 	t.mayHaveRun = true
+	t.dropNext()
 	if current := t.model; t.escalate(x) {
 		t.f.deps.Telemetry.Log.Info("larger model asked", "request", t.ID, "server", x.server.Name, "model", current,
 			"confidence", x.res.Info.Confidence, "since-sent-ms", int64(t.f.deps.Telemetry.Clock.Now()-x.sentAt), "next", t.model)
@@ -52,7 +52,7 @@
 		t.f.recordFirstByte(t, x, t.f.deps.Telemetry.Clock.Now()-x.sentAt)
 		return false, nil
 	}
-	err := t.relayEvents(x, isContinuation)
+	err := t.relayEvents(ctx, x, isContinuation)
 	now := t.f.deps.Telemetry.Clock.Now()
 	if err == nil {
 		x.release(true)
@@ -89,8 +89,8 @@
 
 // relayEvents sends each event to the caller as soon as it is complete; it returns nil at the regular end of the
 // stream. The ids of events increase, and the events of a continuation must follow those that the caller has.
-func (t *task) relayEvents(x *exchange, isContinuation bool) error {
-	reader := x.res.Events(t.eventWait(x))
+func (t *task) relayEvents(ctx context.Context, x *exchange, isContinuation bool) error {
+	reader := x.res.Events(t.eventWait(ctx, x))
 	defer reader.Free()
 	// lastID is the id of the last event of this attempt.
 	lastID := ""
@@ -107,6 +107,7 @@
 		if isContinuation && !exchanger.ContinueStream(t.LastEventID, events) || !exchanger.HasIncreasingIDs(lastID, events) {
 			return errNoContinuation
 		}
+		t.dropNext()
 		lastID = cmp.Or(exchanger.LastEventID(events), lastID)
 		if first {
 			x.firstEventAt = now
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -137,7 +137,7 @@
 	var wg sync.WaitGroup
 	for range requests {
 		wg.Go(func() {
-			task := &task{f: f, attempts: 1, deadline: math.MaxInt64, route: &matcher.Route{Kind: matcher.KindIdempotent, MaxAttempts: 3}}
+			task := &task{f: f, writer: &writer{}, attempts: 1, deadline: math.MaxInt64, route: &matcher.Route{Kind: matcher.KindIdempotent, MaxAttempts: 3}}
 			// A request that has taken the token keeps it until its next attempt.
 			if task.canRetryRun() && task.canRetry() {
 				taken.Add(1)
