Keep the statistics of routes that a new document does not change

Requests were sent up to three times after each new document, and streams given up: SetView dropped the usual time to the first byte, the usual answer time and the pace of all routes with every new policy, so the limits derived from them fell back to those of an instance that knows nothing (700 ms).

Statistics now belong to a route and a service. They are dropped only when the route is gone or takes other requests (host, path, kind, models); what a document changes about limits or services does not concern them. The same reset emptied the answer times that a stop needs, and the paces that the judge of roll-outs compares; both are kept likewise.

TestStatisticsSurviveChangesOfOtherRoutes names what keeps them and what does not.

--- a/internal/forwarder/first_byte.go
+++ b/internal/forwarder/first_byte.go
@@ -39,16 +39,10 @@
 	return a.value, a.count
 }
 
-// firstByteAverage returns the moving average of the time to the first byte on the request's route.
-func (f *Forwarder) firstByteAverage(t *task) *movingAverage {
-	a, _ := f.firstByteAverages.LoadOrStore(t.route.Name, &movingAverage{})
-	return a.(*movingAverage)
-}
-
-// expectedFirstByte returns the average time to the first byte on the request's route, in milliseconds; 0 if it is
-// unknown.
+// expectedFirstByte returns the average time to the first byte of requests like the given one, in milliseconds; 0 if
+// it is unknown.
 func (f *Forwarder) expectedFirstByte(t *task) timer.Millis {
-	v, _ := f.firstByteAverage(t).get()
+	v, _ := f.statsOf(t).firstByte.get()
 	return timer.Millis(v)
 }
 
@@ -56,7 +50,7 @@
 func (f *Forwarder) recordFirstByte(t *task, x *exchange, took timer.Millis) {
 	s := x.server
 	f.firstByteLatency.Update(int64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
-	a := f.firstByteAverage(t)
+	a := &f.statsOf(t).firstByte
 	usual, count := a.get()
 	if count > minFirstByteSamples && float64(took) > slowResponseFactor*max(usual, x.prefill) &&
 		took > slowResponseMargin {
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -56,8 +56,8 @@
 	f.fleetView.Store(view)
 	f.applyOthersRates()
 	f.deps.Paths.Retain(view.addresses)
-	if view.Policy != old.Policy {
-		f.resetRouteStats()
+	if old.Policy != nil && view.Policy != old.Policy {
+		f.dropStatsOfChangedRoutes(old.Policy, view.Policy)
 	}
 	if old.Policy == nil && view.Policy != nil {
 		close(f.policyReady)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,18 +73,17 @@
 
 // Forwarder places and forwards the requests of an entry instance.
 type Forwarder struct {
-	deps              Deps
-	exchange          exchanger.Deps
-	fleetView         atomic.Pointer[fleetView]
-	serversByName     map[string]*server
-	services          map[string]*rationer.Service
-	othersRates       othersRates
-	retryBudget       *retryBudget
-	sessions          *sessions
-	versionOutcomes   *versionOutcomes
-	firstByteAverages sync.Map
-	// answerTimes holds the *movingAverage of answerTime for each route.
-	answerTimes sync.Map
+	deps            Deps
+	exchange        exchanger.Deps
+	fleetView       atomic.Pointer[fleetView]
+	serversByName   map[string]*server
+	services        map[string]*rationer.Service
+	othersRates     othersRates
+	retryBudget     *retryBudget
+	sessions        *sessions
+	versionOutcomes *versionOutcomes
+	// routeStats holds the *routeStats of each routeKey.
+	routeStats sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
 	// placeGranted is closed and replaced when places at brittle servers are granted.
@@ -149,15 +148,6 @@
 	}
 }
 
-// resetRouteStats drops the statistics of routes, which a new policy may have changed.
-func (f *Forwarder) resetRouteStats() {
-	f.firstByteAverages.Clear()
-	f.answerTimes.Clear()
-	f.paces.Clear()
-	f.deps.Telemetry.Counter("routes.statistics-dropped").Inc(1)
-	f.deps.Telemetry.Log.Info("statistics of all routes dropped")
-}
-
 // Ready reports whether requests can be served.
 func (f *Forwarder) Ready() bool {
 	return f.fleetView.Load().Policy != nil
@@ -346,7 +336,7 @@
 		f.log(t, "request refused", status, refusal.Reason)
 		return
 	}
-	f.answerTime(t).add(float64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
+	f.statsOf(t).answer.add(float64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
 	f.log(t, "request answered", status, "")
 }
 
--- a/internal/forwarder/pace.go
+++ b/internal/forwarder/pace.go
@@ -28,10 +28,10 @@
 	maxPacedLoad = 0.5
 )
 
-// paceKey identifies answers whose pace is comparable: streams by their model, other answers by their route and the data
-// centre of their server, since their time includes the way there.
+// paceKey identifies answers of a service whose pace is comparable: streams by their model, other answers by their route and the
+// data centre of their server, since their time includes the way there.
 type paceKey struct {
-	model, route, dataCentre string
+	service, model, route, dataCentre string
 }
 
 // paceWindow holds the pace of the last answers, in milliseconds.
@@ -86,7 +86,7 @@
 	x.paceRecorded = true
 	slices.Sort(x.gaps)
 	t.pace = x.gaps[len(x.gaps)/4]
-	key := paceKey{model: t.model}
+	key := paceKey{service: t.service, model: t.model}
 	if t.model == "" {
 		key.route = t.route.Name
 	}
@@ -98,7 +98,7 @@
 	if float64(x.loadAtSend) > maxPacedLoad*float64(max(1, x.server.Slots)) {
 		return
 	}
-	t.f.recordPace(t, x.server, paceKey{route: t.route.Name, dataCentre: x.server.DataCentre}, float64(took))
+	t.f.recordPace(t, x.server, paceKey{service: t.service, route: t.route.Name, dataCentre: x.server.DataCentre}, float64(took))
 }
 
 // recordPace compares the pace of an answer with the usual one of the versions before a roll-out, and counts it if its
--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -24,7 +24,7 @@
 	if t.route.IsRetryable() {
 		margin = repeatMargin
 	}
-	usual, count := t.f.answerTime(t).get()
+	usual, count := t.f.statsOf(t).answer.get()
 	return count > 0 && float64(now)+margin*usual <= float64(stopsAt)
 }
 
@@ -33,9 +33,3 @@
 	stopsAt := f.deps.StopsAt()
 	return stopsAt > 0 && now+2*slotPollInterval >= stopsAt
 }
-
-// answerTime returns the moving average of the time to the end of the answers on the request's route, in milliseconds.
-func (f *Forwarder) answerTime(t *task) *movingAverage {
-	a, _ := f.answerTimes.LoadOrStore(t.route.Name, &movingAverage{})
-	return a.(*movingAverage)
-}
