Do not take a refusal for the time of a prefill

Found while looking for what limits on waiting are derived from. The estimate of the prefill time per token takes the shortest times most seriously, and a refusal or an error comes at once: after one of them a long prompt was expected in next to no time at every server, so that an attempt looked late, or another server quicker. Before, TestRefusalsAreNoPrefillTimes: 0 ms per token after a refusal or an error in place of 0.5.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -186,14 +187,14 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	s.lastByte.Store(int64(now))
 	x.releasePrefill()
-	if t.PromptTokens > 0 {
-		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
-	}
 	s.updateLoad(res.Info, now)
 	t.recordTerms(x, now)
 	if res.Info.NotRun {
 		return attemptNotRun
 	}
+	if t.PromptTokens > 0 && res.StatusCode < http.StatusMultipleChoices {
+		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
+	}
 	return attemptResponded
 }
 
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -273,3 +273,23 @@
 		t.Fatalf("broken off %t, got %q, sent %d requests, want one", broken, rec.Body, env.sentRequests())
 	}
 }
+
+// Guards against refusals and errors that count as the time of a prefill: a prompt is then expected at once at every server.
+func TestRefusalsAreNoPrefillTimes(t *testing.T) {
+	const estimate = 0.5
+	for name, head := range map[string]string{
+		"refused": "HTTP/1.1 503 Full\r\nRefused: yes\r\n", "failed": "HTTP/1.1 500 Error\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			respond := func(_ int, r *http.Request, w io.Writer) bool {
+				return write(w, head+"Id: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+			}
+			env := newTestEnv(t, streamRoute(true), map[string]*fakeServer{"s1": {respond: respond}, "s2": {respond: respond}})
+			env.f.prefillEstimator.msPerToken[""] = estimate
+			env.serve(Request{PromptTokens: 300, TimeLimit: timer.Second})
+			if got := env.f.prefillEstimator.perToken(""); got != estimate {
+				t.Fatalf("the estimate is %v ms per token after a response in a moment, want %v", got, estimate)
+			}
+		})
+	}
+}
