Keep the usual time to the first byte of each model apart

Prompts to a large model were given up though it worked on them, and read again elsewhere: the usual time of a route was the average over all models of the cascade, and the small one, which every request asks first, answers several times faster. The time is kept for each route, service and model; the time to the end of an answer stays one, since it takes several models. A response counts for the model that was asked, not for the one that is asked next.

Before, TestLargeModelIsNotJudgedByTheSmallOne: 60 requests of 32 streams, the large model asked twice for one stream; now once for each.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -42,6 +42,8 @@
 	request exchanger.Request
 	res     *exchanger.Response
 	sentAt  timer.Millis
+	// model is the model that was asked; the task may go on with a larger one.
+	model string
 	// delay is the limit for which another server is asked to take over. Before patientUntil none is asked, since none took the
 	// request.
 	delay        delay
@@ -141,7 +143,7 @@
 // transmit sends the request to a server; the outcome is attemptPending if its response can be read.
 func (t *task) transmit(ctx context.Context, s *server) (*exchange, attemptOutcome) {
 	now := t.f.deps.Telemetry.Clock.Now()
-	x := &exchange{server: s, sentAt: now}
+	x := &exchange{server: s, sentAt: now, model: t.model}
 	// A copy of the response to an earlier attempt bears the same id, so no connection carries two attempts of a request.
 	c := s.pool.Get(t.usedConns)
 	if c == nil {
--- a/internal/forwarder/first_byte.go
+++ b/internal/forwarder/first_byte.go
@@ -42,7 +42,7 @@
 // expectedFirstByte returns the average time to the first byte of requests like the given one, in milliseconds; 0 if
 // it is unknown.
 func (f *Forwarder) expectedFirstByte(t *task) timer.Millis {
-	v, _ := f.statsOf(t).firstByte.get()
+	v, _ := f.firstByteTime(t, t.model).get()
 	return timer.Millis(v)
 }
 
@@ -50,7 +50,7 @@
 func (f *Forwarder) recordFirstByte(t *task, x *exchange, took timer.Millis) {
 	s := x.server
 	f.firstByteLatency.Update(int64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
-	a := &f.statsOf(t).firstByte
+	a := f.firstByteTime(t, x.model)
 	usual, count := a.get()
 	if count > minFirstByteSamples && float64(took) > slowResponseFactor*max(usual, x.prefill) &&
 		took > slowResponseMargin {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -82,8 +82,8 @@
 	retryBudget     *retryBudget
 	sessions        *sessions
 	versionOutcomes *versionOutcomes
-	// routeStats holds the *routeStats of each routeKey.
-	routeStats sync.Map
+	// firstByteTimes and answerTimes hold a *movingAverage for each routeKey.
+	firstByteTimes, answerTimes sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
 	// placeGranted is closed and replaced when places at brittle servers are granted.
@@ -336,7 +336,7 @@
 		f.log(t, "request refused", status, refusal.Reason)
 		return
 	}
-	f.statsOf(t).answer.add(float64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
+	f.answerTime(t).add(float64(f.deps.Telemetry.Clock.Now() - t.ArrivedAt))
 	f.log(t, "request answered", status, "")
 }
 
--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -79,6 +79,8 @@
 	acquittals   []quarantiner.Acquittal
 	// onDial, if set, is called once, when the first connection is opened.
 	onDial func()
+	// chooseModel lets serveAtOnce leave the choice of the model to the forwarder.
+	chooseModel bool
 	// stoodStill makes the next check find that the process stood still.
 	stoodStill atomic.Bool
 	// connect returns the two ends of a connection.
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -167,7 +167,7 @@
 
 // giveUp logs why an attempt is given up and what was known about the other servers then; it returns false.
 func (t *task) giveUp(x *exchange, d delay, now timer.Millis) bool {
-	usual, samples := t.f.statsOf(t).firstByte.get()
+	usual, samples := t.f.firstByteTime(t, x.model).get()
 	waiting, silent := t.f.silentServers(t, x.server, d.waited, now)
 	t.f.deps.Telemetry.Counter("requests.given-up." + d.reason).Inc(1)
 	t.f.deps.Telemetry.Log.Info("attempt given up", "request", t.ID, "server", x.server.Name, "attempt", t.attempts, "reason", d.reason,
--- a/internal/forwarder/route_stats.go
+++ b/internal/forwarder/route_stats.go
@@ -2,26 +2,32 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 )
 
-// routeKey identifies requests whose times are comparable: those of one route at one service.
+// routeKey identifies requests whose times are comparable: those of one route at one model of a service.
 type routeKey struct {
-	route, service string
+	route, service, model string
 }
 
-// routeStats are the usual times of the requests with one routeKey, in milliseconds.
-type routeStats struct {
-	// firstByte is the time from the sending of a request to the first byte of its response, answer that from its arrival to
-	// the end of its answer.
-	firstByte, answer movingAverage
+// averageFor returns the average of requests like the given one.
+func averageFor(averages *sync.Map, key routeKey) *movingAverage {
+	a, _ := averages.LoadOrStore(key, &movingAverage{})
+	return a.(*movingAverage)
 }
 
-// statsOf returns the statistics of requests like the given one.
-func (f *Forwarder) statsOf(t *task) *routeStats {
-	stats, _ := f.routeStats.LoadOrStore(routeKey{route: t.route.Name, service: t.service}, &routeStats{})
-	return stats.(*routeStats)
+// firstByteTime returns the average time from the sending of requests like the given one to the first byte of a model's response, in
+// milliseconds.
+func (f *Forwarder) firstByteTime(t *task, model string) *movingAverage {
+	return averageFor(&f.firstByteTimes, routeKey{route: t.route.Name, service: t.service, model: model})
+}
+
+// answerTime returns the average time from the arrival of requests like the given one to the end of the answer, in milliseconds. It
+// may take several models.
+func (f *Forwarder) answerTime(t *task) *movingAverage {
+	return averageFor(&f.answerTimes, routeKey{route: t.route.Name, service: t.service})
 }
 
 // dropStatsOfChangedRoutes drops the statistics of routes that a new policy does not have, or that take other requests there. All
@@ -32,13 +38,15 @@
 		return old != nil && r != nil && takesSameRequests(old, r)
 	}
 	dropped := map[string]bool{}
-	f.routeStats.Range(func(key, _ any) bool {
-		if route := key.(routeKey).route; !isKept(route) {
-			dropped[route] = true
-			f.routeStats.Delete(key)
-		}
-		return true
-	})
+	for _, averages := range []*sync.Map{&f.firstByteTimes, &f.answerTimes} {
+		averages.Range(func(key, _ any) bool {
+			if route := key.(routeKey).route; !isKept(route) {
+				dropped[route] = true
+				averages.Delete(key)
+			}
+			return true
+		})
+	}
 	f.paces.Range(func(key, _ any) bool {
 		if route := key.(paceKey).route; route != "" && !isKept(route) {
 			f.paces.Delete(key)
--- a/internal/forwarder/route_stats_test.go
+++ b/internal/forwarder/route_stats_test.go
@@ -28,8 +28,8 @@
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{})
 			task := &task{f: env.f, route: &env.policy.Routes[0], service: "s"}
-			env.f.statsOf(task).firstByte.add(300)
-			env.f.statsOf(task).answer.add(900)
+			env.f.firstByteTime(task, "").add(300)
+			env.f.answerTime(task).add(900)
 			pace := paceKey{service: "s", route: "r", dataCentre: "a"}
 			env.f.paces.Store(pace, &paceWindow{})
 
@@ -43,8 +43,8 @@
 			env.policy = next
 			env.publishView()
 
-			_, count := env.f.statsOf(task).firstByte.get()
-			answer, _ := env.f.statsOf(task).answer.get()
+			_, count := env.f.firstByteTime(task, "").get()
+			answer, _ := env.f.answerTime(task).get()
 			_, hasPace := env.f.paces.Load(pace)
 			if got := count == 1; got != tt.kept || (answer > 0) != tt.kept || hasPace != tt.kept {
 				t.Fatalf("first byte kept %t, answer time %v, pace kept %t, want kept: %t", got, answer, hasPace, tt.kept)
--- a/internal/forwarder/silent_servers_test.go
+++ b/internal/forwarder/silent_servers_test.go
@@ -51,18 +51,20 @@
 	return write(w, "HTTP/1.1 503 Full\r\nId: "+r.Header.Get("Id")+"\r\nRefused: yes\r\nContent-Length: 0\r\n\r\n")
 }
 
-// serveAtOnce serves a number of streams at the same time and returns how many were broken off or incomplete.
+// serveAtOnce serves a number of streams at the same time and returns how many were broken off or incomplete. They begin a moment
+// apart: requests that choose at the same moment all choose the same server.
 func (e *testEnv) serveAtOnce(streams int) int {
 	e.t.Helper()
 	var wg sync.WaitGroup
 	var cut atomic.Int64
 	for i := range streams {
 		wg.Go(func() {
-			rec, broken := e.serve(Request{ID: fmt.Sprintf("id-%d", i), PromptTokens: 300})
+			rec, broken := e.serve(Request{ID: fmt.Sprintf("id-%d", i), PromptTokens: 300, ChooseModel: e.chooseModel})
 			if broken || rec.Body.String() != wholeStream() {
 				cut.Add(1)
 			}
 		})
+		time.Sleep(2 * time.Millisecond)
 	}
 	wg.Wait()
 	return int(cut.Load())
@@ -204,3 +206,56 @@
 		t.Fatalf("broken off %t, status %d", broken, rec.Code)
 	}
 }
+
+// Guards against a large model that is given up because of the times of the small one that is asked first.
+func TestLargeModelIsNotJudgedByTheSmallOne(t *testing.T) {
+	respond := func(_ int, r *http.Request, w io.Writer) bool {
+		confidence := "Confidence: 10\r\n"
+		if r.Header.Get("Model") == "large" {
+			confidence = "Confidence: 99\r\n"
+			time.Sleep(1200 * time.Millisecond)
+		}
+		write(w, streamHead(r.Header.Get("Id"), confidence))
+		for n := 1; n <= streamEvents; n++ {
+			write(w, chunk(event(n)))
+		}
+		return write(w, streamEnd)
+	}
+	servers := map[string]*fakeServer{}
+	for i := range 8 {
+		servers[fmt.Sprintf("s%d", i)] = &fakeServer{respond: respond}
+	}
+	route := streamRoute(true)
+	route.TargetLatency = 3 * timer.Second
+	route.Models = []string{"small", "large"}
+	env := newTestEnv(t, route, servers)
+	env.connect = env.connectTCP
+	env.chooseModel = true
+	const streams = 32
+	// The usual times are not known in the first round.
+	env.serveAtOnce(streams)
+	before := env.largeModelRequests()
+	cut := env.serveAtOnce(streams)
+	after := env.largeModelRequests()
+	if cut != 0 || len(after) == 0 {
+		t.Fatalf("%d streams broken off, %d streams asked the large model", cut, len(after))
+	}
+	for id, n := range after {
+		if n-before[id] > 1 {
+			t.Errorf("the large model was asked %d times for stream %s", n-before[id], id)
+		}
+	}
+}
+
+// largeModelRequests counts the requests to the large model for each stream.
+func (e *testEnv) largeModelRequests() map[string]int {
+	n := map[string]int{}
+	for _, s := range e.servers {
+		for _, r := range s.requests() {
+			if r.Header.Get("Model") == "large" {
+				n[r.Header.Get("Id")]++
+			}
+		}
+	}
+	return n
+}
--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -24,7 +24,7 @@
 	if t.route.IsRetryable() {
 		margin = repeatMargin
 	}
-	usual, count := t.f.statsOf(t).answer.get()
+	usual, count := t.f.answerTime(t).get()
 	return count > 0 && float64(now)+margin*usual <= float64(stopsAt)
 }
 
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -43,7 +43,7 @@
 			env.f.deps.StopsAt = func() timer.Millis { return now + tt.left }
 			task := &task{Request: &Request{}, f: env.f, route: &env.policy.Routes[0], deadline: now + tt.timeLimit}
 			if tt.usual > 0 {
-				env.f.statsOf(task).answer.add(float64(tt.usual))
+				env.f.answerTime(task).add(float64(tt.usual))
 			}
 			if got := task.canFinish(now); got != tt.canFinish {
 				t.Fatalf("got %t, want %t", got, tt.canFinish)
--- a/internal/forwarder/versions_test.go
+++ b/internal/forwarder/versions_test.go
@@ -214,7 +214,7 @@
 			env, _, _ := newRollOutEnv(t, applier.RollOutRunning, 0.3)
 			task, _ := env.f.newTask(&Request{ID: "id", Host: "h", Path: "/x"}, httptest.NewRecorder())
 			for range minFirstByteSamples + 1 {
-				env.f.statsOf(task).firstByte.add(300)
+				env.f.firstByteTime(task, "").add(300)
 			}
 			env.f.recordFirstByte(task, &exchange{server: env.f.serversByName["s2"], prefill: tt.prefill}, tt.took)
 			slow := 0
