Judge the silence of a server by that of the others, and bound takeovers

A fleet that was slow as a whole got most prompts twice: each instance judged each server by fixed limits, so that every attempt was late, was given up and was read again elsewhere, which made all of them slower still. A server's silence has evidence only by contrast: - No first byte is late before three times what quick responses of the same model and service take now. Quick is the lower quartile of the last responses, each compared with its expected time; attempts that were given up count with the time that they were awaited. As long as some servers answer as usual, slow and dead ones are left as before. - While all servers that an instance waits for are silent, up to 3 s, none of them is left. - Takeovers from a server that no other evidence speaks against (an alarm, failures, a lost announcement, a cut way) are bounded to a tenth of the requests and a small burst: where servers are overloaded, some prompts are read at once and others wait, and the quick ones do not show that a move gains nothing.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -67,6 +67,8 @@
 	pendingPrefill float64
 	// prefill is the estimated prefill time of the prompt, and queueWait that of the prompts before it, in milliseconds.
 	prefill, queueWait float64
+	// expected is the estimated time to the first byte, in milliseconds; 0 if nothing is known.
+	expected float64
 	// returnPlace gives the place at the server back; if the response is not complete, the server may go on for a while.
 	returnPlace func(complete bool)
 	// detachContext stops the context from closing the connection; it returns false if that has already happened.
@@ -217,6 +219,7 @@
 	// Before prefixTracker assumes that the server caches the shared parts, which prefillTime then leaves out.
 	x.urgency, x.pendingPrefill = t.urgency(s), t.prefillTime(s)
 	x.prefill, x.queueWait = x.pendingPrefill, s.prefillQueue.waitFor(x.urgency, x.sentAt)
+	x.expected = t.expectedTime(x)
 	s.prefillQueue.add(x.urgency, x.pendingPrefill)
 	if x.pendingPrefill >= longPrefill {
 		t.f.deps.OnLongPrefill()
--- a/internal/forwarder/first_byte.go
+++ b/internal/forwarder/first_byte.go
@@ -58,6 +58,7 @@
 	} else if t.route.Kind != streamKind {
 		f.recordOutcome(t, s, gradeGood)
 	}
+	t.recordSlowness(x, took, f.deps.Telemetry.Clock.Now())
 	if count > minFirstByteSamples && usual > 0 {
 		s.relativeFirstByte.add(float64(took) / usual)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,17 +73,21 @@
 
 // Forwarder places and forwards the requests of an entry instance.
 type Forwarder struct {
-	deps            Deps
-	exchange        exchanger.Deps
-	fleetView       atomic.Pointer[fleetView]
-	serversByName   map[string]*server
-	services        map[string]*rationer.Service
-	othersRates     othersRates
-	retryBudget     *retryBudget
+	deps          Deps
+	exchange      exchanger.Deps
+	fleetView     atomic.Pointer[fleetView]
+	serversByName map[string]*server
+	services      map[string]*rationer.Service
+	othersRates   othersRates
+	retryBudget   *retryBudget
+	// takeoverBudget bounds takeovers from servers that may just be slow.
+	takeoverBudget  *retryBudget
 	sessions        *sessions
 	versionOutcomes *versionOutcomes
 	// firstByteTimes and answerTimes hold a *movingAverage for each routeKey.
 	firstByteTimes, answerTimes sync.Map
+	// slowness holds the *slownessWindow of each service.
+	slowness sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
 	// placeGranted is closed and replaced when places at brittle servers are granted.
@@ -113,6 +117,8 @@
 		exchange: exchanger.Deps{Now: deps.Telemetry.Clock.Now, Dial: deps.Paths.Dial, Limits: deps.Config.Answers,
 			Memory: exchanger.NewMemory(deps.Config.MaxBufferedBytes)},
 	}
+	f.takeoverBudget = newRetryBudget(Config{RetryRatio: takeoverRatio, RetryBurst: takeoverBurst, RetryWindow: deps.Config.RetryWindow},
+		deps.Telemetry.Clock.Now)
 	f.fleetView.Store(&fleetView{})
 	return f
 }
@@ -236,6 +242,7 @@
 		ctx, cancel = context.WithTimeout(ctx, (t.deadline - f.deps.Telemetry.Clock.Now()).Duration())
 		defer cancel()
 		f.retryBudget.deposit()
+		f.takeoverBudget.deposit()
 		refusal = t.run(ctx)
 		t.dropNext()
 		t.giveBackRetry()
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -14,6 +15,10 @@
 	takeoverPollInterval = 25 * timer.Millisecond
 	// placePollInterval is the time between looks for a server that takes over.
 	placePollInterval = 250 * timer.Millisecond
+	// takeoverRatio is the number of takeovers from servers that may just be slow which each request allows, and takeoverBurst the
+	// number allowed on top per retry window. A fleet that is slow because it is overloaded would otherwise get each prompt twice.
+	takeoverRatio = 0.1
+	takeoverBurst = 5
 )
 
 // waitForTakeover bounds the wait for more bytes of an attempt that takes too long. It is given up once another server has taken the
@@ -51,6 +56,37 @@
 	if !t.canRetryRun() || t.isBlocked() || t.f.isAboutToStop(now) {
 		return false
 	}
+	isCounted := !t.f.isSuspect(x, now)
+	if isCounted && !t.f.takeoverBudget.take() {
+		t.giveBackRetry()
+		return false
+	}
+	if !t.sendNext(ctx, x, now) {
+		t.giveBackRetry()
+		if isCounted {
+			t.f.takeoverBudget.giveBack()
+		}
+		return false
+	}
+	return true
+}
+
+// isSuspect reports whether there is more evidence against the server of an attempt than the time that the attempt has waited: failures
+// of other requests, the loss of its announcement, or a way that is cut.
+func (f *Forwarder) isSuspect(x *exchange, now timer.Millis) bool {
+	suspended, _ := x.server.availability(now)
+	return suspended || !f.isListed(x.server) || !x.isDetour && f.deps.Paths.IsDetour(x.server.Address)
+}
+
+// isListed reports whether a server still serves, in the same incarnation.
+func (f *Forwarder) isListed(s *server) bool {
+	return slices.ContainsFunc(f.fleetView.Load().servers[s.Service], func(other *server) bool {
+		return other.Name == s.Name && other.Incarnation == s.Incarnation
+	})
+}
+
+// sendNext sends the request to another server that has room for it.
+func (t *task) sendNext(ctx context.Context, x *exchange, now timer.Millis) bool {
 	t.view = t.f.fleetView.Load()
 	t.avoidTarget(x.server)
 	t.tried[x.server.Name] = true
@@ -60,7 +96,6 @@
 		clear(t.tried)
 		t.tried[x.server.Name] = true
 		t.forgetDeclined(now)
-		t.giveBackRetry()
 		return false
 	}
 	t.tried[s.Name] = true
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -78,7 +78,12 @@
 			return min(now+responsePollInterval, x.patientUntil), true
 		}
 		d := check(now)
-		if d.reason == "" {
+		switch {
+		case d.reason == "":
+			return now + responsePollInterval, true
+		case t.isSilenceShared(x, d.waited, now):
+			// Once the others answer again, this server has the whole time to do so too.
+			x.patientUntil = now + d.limit
 			return now + responsePollInterval, true
 		}
 		return t.waitForTakeover(ctx, x, d, now)
@@ -96,6 +101,9 @@
 // streamDelay returns how an attempt exceeds the limits on the time to the first byte of a stream.
 func (t *task) streamDelay(x *exchange, now timer.Millis) delay {
 	s, since := x.server, now-x.sentAt
+	if since < t.lateLimit(x, now) {
+		return delay{}
+	}
 	silenceLimit := max(deadTimeout, t.f.expectedFirstByte(t)*3/2)
 	if s.inFlight.Load() <= 1 {
 		// No other request is in flight that the server could respond to during the prefill.
@@ -135,7 +143,9 @@
 		return nil
 	}
 	limit := t.route.TargetLatency * plainWaitPercent / 100
-	return t.await(ctx, x, func(now timer.Millis) delay { return checkLimit(delayFirstByte, now-x.sentAt, limit) })
+	return t.await(ctx, x, func(now timer.Millis) delay {
+		return checkLimit(delayFirstByte, now-x.sentAt, max(limit, t.lateLimit(x, now)))
+	})
 }
 
 // bodyWait bounds the wait for the rest of a body that comes too slowly.
@@ -160,6 +170,9 @@
 			return due, true
 		case !t.route.IsRetryable():
 			return now + limit, true
+		case t.next == nil && t.isSilenceShared(x, now-lastEventAt, now):
+			x.patientUntil = now + limit
+			return x.patientUntil, true
 		}
 		return t.waitForTakeover(ctx, x, delay{reason: reason, waited: now - lastEventAt, limit: limit}, now)
 	}
@@ -167,11 +180,14 @@
 
 // giveUp logs why an attempt is given up and what was known about the other servers then; it returns false.
 func (t *task) giveUp(x *exchange, d delay, now timer.Millis) bool {
+	if x.res == nil {
+		t.recordSlowness(x, now-x.sentAt, now)
+	}
 	usual, samples := t.f.firstByteTime(t, x.model).get()
 	waiting, silent := t.f.silentServers(t, x.server, d.waited, now)
 	t.f.deps.Telemetry.Counter("requests.given-up." + d.reason).Inc(1)
 	t.f.deps.Telemetry.Log.Info("attempt given up", "request", t.ID, "server", x.server.Name, "attempt", t.attempts, "reason", d.reason,
-		"waited-ms", int64(d.waited), "limit-ms", int64(d.limit), "usual-ms", int64(usual), "samples", samples,
+		"waited-ms", int64(d.waited), "limit-ms", int64(d.limit), "usual-ms", int64(usual), "samples", samples, "expected-ms", int64(x.expected), "quick", t.slowness(x.model).quick(now),
 		"progress", x.progress(), "others-waiting", waiting, "others-silent", silent, "policy", t.view.Policy.Version)
 	return false
 }
--- a/internal/forwarder/silent_servers_test.go
+++ b/internal/forwarder/silent_servers_test.go
@@ -54,6 +54,12 @@
 // serveAtOnce serves a number of streams at the same time and returns how many were broken off or incomplete. They begin a moment
 // apart: requests that choose at the same moment all choose the same server.
 func (e *testEnv) serveAtOnce(streams int) int {
+	e.t.Helper()
+	return e.serveEach(streams, 2*time.Millisecond)
+}
+
+// serveEach serves streams that begin at the given interval.
+func (e *testEnv) serveEach(streams int, interval time.Duration) int {
 	e.t.Helper()
 	var wg sync.WaitGroup
 	var cut atomic.Int64
@@ -64,12 +70,18 @@
 				cut.Add(1)
 			}
 		})
-		time.Sleep(2 * time.Millisecond)
+		time.Sleep(interval)
 	}
 	wg.Wait()
 	return int(cut.Load())
 }
 
+// serveSteadily serves about 33 new streams a second and returns how many were broken off or incomplete.
+func (e *testEnv) serveSteadily(streams int) int {
+	e.t.Helper()
+	return e.serveEach(streams, 30*time.Millisecond)
+}
+
 // Guards against streams that are broken off because their server pauses and no other one takes them: the running attempt
 // was ended before the next server had accepted it.
 func TestPausingStreamIsNotLeftForServersThatAreFull(t *testing.T) {
@@ -166,26 +178,12 @@
 	}
 	env := newTestEnv(t, streamRoute(true), servers)
 	env.connect = env.connectTCP
-	send := func(streams int) (cut int) {
-		var wg sync.WaitGroup
-		var n atomic.Int64
-		for i := range streams {
-			wg.Go(func() {
-				if rec, broken := env.serve(Request{ID: fmt.Sprintf("id-%d", i), PromptTokens: 300}); broken || rec.Body.String() != wholeStream() {
-					n.Add(1)
-				}
-			})
-			time.Sleep(30 * time.Millisecond)
-		}
-		wg.Wait()
-		return int(n.Load())
-	}
 	delay.Store(int64(200 * time.Millisecond))
-	send(60)
+	env.serveSteadily(60)
 	delay.Store(int64(1100 * time.Millisecond))
 	before := env.sentRequests()
 	const streams = 200
-	cut := send(streams)
+	cut := env.serveSteadily(streams)
 	// A tenth more: the first ones are sent before it is known that all servers are slow.
 	if sent := env.sentRequests() - before; cut != 0 || sent > streams+streams/10 {
 		t.Fatalf("%d requests sent for %d streams, %d broken off", sent, streams, cut)
@@ -259,3 +257,28 @@
 	}
 	return n
 }
+
+// Guards against an overloaded fleet that gets each waiting prompt a second time: some prompts are read at once and others wait, so the
+// quick responses do not show that a move gains nothing.
+func TestOverloadedFleetGetsFewTakeovers(t *testing.T) {
+	var n atomic.Int64
+	respond := func(_ int, r *http.Request, w io.Writer) bool {
+		if n.Add(1)%2 == 0 {
+			time.Sleep(1200 * time.Millisecond)
+		}
+		return pausingStream(0)(0, r, w)
+	}
+	servers := map[string]*fakeServer{}
+	for i := range 16 {
+		servers[fmt.Sprintf("s%d", i)] = &fakeServer{respond: respond}
+	}
+	env := newTestEnv(t, streamRoute(true), servers)
+	env.connect = env.connectTCP
+	const streams = 200
+	cut := env.serveSteadily(streams)
+	// The burst is allowed once, and once more in the retry window that the test lasts.
+	most := streams + int(takeoverRatio*streams) + 2*takeoverBurst
+	if sent := env.sentRequests(); cut != 0 || sent > most {
+		t.Fatalf("%d requests sent for %d streams, want at most %d; %d broken off", sent, streams, most, cut)
+	}
+}
