Drop an answer for a larger model only once a server has not refused that request

Where all of them refused, the caller got 502 in place of the answer that had been there (TestRefusedEscalationKeepsTheAnswer: 502 after three requests before, the answer after two now). The answer of the smaller model is kept for 50 ms, in which a full server refuses; a larger model that has taken the request gets it as before. No server is reserved for a later send any more.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -19,10 +20,10 @@
 	return models[0]
 }
 
-// escalate selects a larger model if the model that responded reports low confidence; it returns true if the current
-// response is to be dropped. The longer the prefill queue, the lower the required confidence: a late response is worth
+// escalate asks a larger model if the model that responded reports low confidence; it returns true once a server has taken that
+// request, and the current response is to be dropped. The longer the prefill queue, the lower the required confidence: a late response is worth
 // less than a possibly wrong one, and each escalation delays other requests.
-func (t *task) escalate(x *exchange) bool {
+func (t *task) escalate(ctx context.Context, x *exchange) bool {
 	models := t.route.Models
 	if t.model == "" || t.writer.status != 0 || t.model == models[len(models)-1] {
 		return false
@@ -50,24 +51,48 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	best := t.admittedServer(t.candidates(now), now, false)
 	var estimate escalationEstimate
+	reason := "no server of the larger model has room"
 	if best != nil {
+		reason = "the delay at the larger model outweighs the low confidence"
 		estimate = escalationEstimate{
 			queueWait: best.prefillQueue.waitFor(t.urgency(best), now), prefill: t.prefillTime(best),
 			slotShare: float64(best.load(now)) / float64(max(1, best.Slots)),
 		}
 		if t.isWorthEscalating(estimate, confidence, now) {
-			t.reserved = best
-			return true
+			if t.sendEscalation(ctx, best) {
+				return true
+			}
+			reason = "the server of the larger model refused"
+		} else {
+			best.ration.Refund()
+			t.returnPlace(best)
 		}
-		best.ration.Refund()
-		t.returnPlace(best)
 	}
 	t.giveBackRetry()
 	t.model, t.tried = current, tried
-	t.logSkippedEscalation(x, "the delay at the larger model outweighs the low confidence", estimate)
+	t.logSkippedEscalation(x, reason, estimate)
 	return false
 }
 
+// escalationTakeoverTime is how long the response of a smaller model is kept while a larger one may refuse the request.
+const escalationTakeoverTime = 50 * timer.Millisecond
+
+// sendEscalation sends the request to a server of a larger model, and reports whether it was not refused: the response of the
+// smaller model is better than none.
+func (t *task) sendEscalation(ctx context.Context, s *server) bool {
+	t.tried[s.Name] = true
+	n, outcome := t.transmit(ctx, s)
+	if outcome != attemptPending {
+		t.recordRefusedTakeover(ctx, n, outcome, t.f.deps.Telemetry.Clock.Now())
+		return false
+	}
+	if t.awaitTakeover(ctx, n, n.sentAt+escalationTakeoverTime) == takeoverRefused {
+		return false
+	}
+	t.next = n
+	return true
+}
+
 // escalationEstimate is the expected delay of a larger model's response at one server: queue wait and prefill time in
 // milliseconds, and the share of slots in use.
 type escalationEstimate struct {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -190,8 +190,6 @@
 	awaitsRestUntil timer.Millis
 	// claimed are the brittle servers at which the request waits for a place.
 	claimed map[*server]bool
-	// reserved is the server that has admitted the next attempt already.
-	reserved *server
 	// next is an attempt that was started while the last one is in progress.
 	next *exchange
 	// attempts counts the servers that got the request, refusals those of them that did not run it, and failedDials those that
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -26,23 +26,43 @@
 	}
 	x.delay = d
 	n := t.next
-	if !n.conn.Await(t.f.deps.Telemetry.Clock.Now()) {
-		now = t.f.deps.Telemetry.Clock.Now()
-		if now-n.sentAt >= takeoverTime {
-			return now, t.giveUp(x, d, now)
+	switch t.awaitTakeover(ctx, n, now) {
+	case takeoverRefused:
+		t.next = nil
+		// The servers with the most room have just been asked.
+		x.patientUntil = t.f.deps.Telemetry.Clock.Now() + max(d.limit, placePollInterval)
+		return x.patientUntil, true
+	case takeoverPending:
+		if now = t.f.deps.Telemetry.Clock.Now(); now-n.sentAt < takeoverTime {
+			return now + takeoverPollInterval, true
 		}
-		return now + takeoverPollInterval, true
+	}
+	return now, t.giveUp(x, d, now)
+}
+
+// takeover is how far a server has taken over a request.
+type takeover uint8
+
+const (
+	// takeoverPending: the server has not answered.
+	takeoverPending takeover = iota
+	// takeoverRefused: the server has refused the request or failed.
+	takeoverRefused
+	// takeoverDone: a good response has begun.
+	takeoverDone
+)
+
+// awaitTakeover waits for the head of the next server's response, at least for a moment.
+func (t *task) awaitTakeover(ctx context.Context, n *exchange, until timer.Millis) takeover {
+	if !n.conn.Await(until) {
+		return takeoverPending
 	}
 	outcome := t.readHead(n, nil)
-	now = t.f.deps.Telemetry.Clock.Now()
 	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices {
-		return now, t.giveUp(x, d, now)
+		return takeoverDone
 	}
-	t.next = nil
-	t.recordRefusedTakeover(ctx, n, outcome, now)
-	// The servers with the most room have just been asked.
-	x.patientUntil = now + max(d.limit, placePollInterval)
-	return x.patientUntil, true
+	t.recordRefusedTakeover(ctx, n, outcome, t.f.deps.Telemetry.Clock.Now())
+	return takeoverRefused
 }
 
 // startNext sends the request to a server that has room for it, and reports whether it was sent. The attempt has its token of the
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -97,10 +97,6 @@
 
 // pickServer returns the cheapest server with a free slot, or the reason why there is none.
 func (t *task) pickServer(now timer.Millis) (*server, string) {
-	if s := t.reserved; s != nil {
-		t.reserved = nil
-		return s, ""
-	}
 	list := t.candidates(now)
 	if len(list) == 0 {
 		return nil, "no backend server of the service is known"
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -87,8 +87,7 @@
 	t.f.deps.OnPlacesChanged()
 }
 
-// stopWaiting ends all waits of a request that has a server, or gets none. A server that was reserved for it and is not used gets
-// its place back.
+// stopWaiting ends all waits of a request that has a server, or gets none.
 func (t *task) stopWaiting() {
 	t.stopAwaitingRest()
 	for s := range t.claimed {
@@ -98,10 +97,6 @@
 		clear(t.claimed)
 		t.f.deps.OnPlacesChanged()
 	}
-	if s := t.reserved; s != nil {
-		t.reserved = nil
-		t.returnPlace(s)
-	}
 }
 
 // awaitPlace waits until a place is granted, at most slotPollInterval; it returns false if the context ends.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -44,7 +44,7 @@
 	}
 	t.mayHaveRun = true
 	t.dropNext()
-	if current := t.model; t.escalate(x) {
+	if current := t.model; t.escalate(ctx, x) {
 		t.f.deps.Telemetry.Log.Info("larger model asked", "request", t.ID, "server", x.server.Name, "model", current,
 			"confidence", x.res.Info.Confidence, "since-sent-ms", int64(t.f.deps.Telemetry.Clock.Now()-x.sentAt), "next", t.model)
 		x.release(false)
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -293,3 +293,27 @@
 		})
 	}
 }
+
+// Guards against a response that is dropped for a larger model whose servers refuse the request.
+func TestRefusedEscalationKeepsTheAnswer(t *testing.T) {
+	tests := map[string]string{
+		"refused": "HTTP/1.1 503 Full\r\nRefused: yes\r\n", "failed": "HTTP/1.1 500 Error\r\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			respond := func(_ int, r *http.Request, w io.Writer) bool {
+				if r.Header.Get("Model") != "small" {
+					return write(w, head+"Id: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+				}
+				return write(w, streamHead(r.Header.Get("Id"), "Confidence: 10\r\n")) && write(w, chunk(event(1))) && write(w, streamEnd)
+			}
+			route := streamRoute(true)
+			route.Models = []string{"small", "large"}
+			env := newTestEnv(t, route, map[string]*fakeServer{"s1": {respond: respond}, "s2": {respond: respond}})
+			env.connect = env.connectTCP
+			if rec, broken := env.serve(Request{ChooseModel: true, PromptTokens: 300}); broken || rec.Body.String() != event(1) || env.sentRequests() != 2 {
+				t.Fatalf("broken off %t, got %d %q, sent %d requests", broken, rec.Code, rec.Body, env.sentRequests())
+			}
+		})
+	}
+}
