Count a request in the load of its server from its choice on

Streams of a server that has gone down, and any requests that come at the same moment, all chose the same server: the load was looked at when a server was chosen, and the request counted in it only when it was sent, after the connection had opened. The place that a request takes with its choice counts now. For servers that are not brittle, the places of abandoned requests were never given back; looking at the number returns them.

Found with TestPausingServersCutNoStreams, whose 40 streams began at one server.

--- a/internal/allotter/places.go
+++ b/internal/allotter/places.go
@@ -62,6 +62,14 @@
 	return p.used < p.granted
 }
 
+// Used returns how many places this instance uses, from the choice of the server for a request on.
+func (p *Places) Used(now timer.Millis) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endLingering(now)
+	return p.used
+}
+
 // Return gives a place back.
 func (p *Places) Return(now timer.Millis) {
 	p.mu.Lock()
--- a/internal/forwarder/silent_servers_test.go
+++ b/internal/forwarder/silent_servers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -281,3 +282,30 @@
 		t.Fatalf("%d requests sent for %d streams, want at most %d; %d broken off", sent, streams, most, cut)
 	}
 }
+
+// Guards against requests that all choose the same server at the same moment, such as the streams of a server that has gone down:
+// the load was looked at before a request counted in it.
+func TestRequestsThatChooseTogetherAreSpread(t *testing.T) {
+	servers := map[string]*fakeServer{}
+	for i := range 8 {
+		servers[fmt.Sprintf("s%d", i)] = &fakeServer{respond: pausingStream(300 * time.Millisecond)}
+	}
+	env := newTestEnv(t, streamRoute(true), servers)
+	// All requests have chosen before the first one is sent.
+	const streams = 40
+	var chosen sync.WaitGroup
+	chosen.Add(streams)
+	env.connect = func() (client, server net.Conn) {
+		chosen.Done()
+		chosen.Wait()
+		return env.connectTCP()
+	}
+	if cut := env.serveEach(streams, 0); cut != 0 {
+		t.Errorf("%d streams were broken off", cut)
+	}
+	for name, s := range servers {
+		if n := len(s.requests()); n > streams/len(servers)+1 {
+			t.Errorf("%s got %d of %d streams", name, n, streams)
+		}
+	}
+}
