Do not leave a stream for a response that is not a stream

A takeover counted as done with any good status, so a stream that had begun could be left for a page, and was then broken off. The test of the takeover covers more ways of not taking a stream now (full, failing, closing, no stream) and got a name that says so; each way was one of its cases or is new, none is gone. Without the change the case 'no stream' is broken off.

--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -58,7 +58,7 @@
 		return takeoverPending
 	}
 	outcome := t.readHead(n, nil)
-	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices {
+	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices && (t.writer.status == 0 || isEventStream(n.res.Response)) {
 		return takeoverDone
 	}
 	t.recordRefusedTakeover(ctx, n, outcome, t.f.deps.Telemetry.Clock.Now())
