--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -37,7 +37,11 @@
 			return now + takeoverPollInterval, true
 		}
 	}
-	return now, t.giveUp(x, d, now)
+	if x.res == nil {
+		t.recordSlowness(x, now-x.sentAt, now)
+	}
+	t.logGivenUp(x, d, now)
+	return now, false
 }
 
 // takeover is how far a server has taken over a request.
@@ -58,15 +62,15 @@
 		return takeoverPending
 	}
 	outcome := t.readHead(n, nil)
-	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices && (t.writer.status == 0 || isEventStream(n.res.Response)) {
+	if outcome == attemptResponded && n.res.StatusCode < http.StatusMultipleChoices &&
+		(t.writer.status == 0 || isEventStream(n.res.Response)) {
 		return takeoverDone
 	}
 	t.recordRefusedTakeover(ctx, n, outcome, t.f.deps.Telemetry.Clock.Now())
 	return takeoverRefused
 }
 
-// startNext sends the request to a server that has room for it, and reports whether it was sent. The attempt has its token of the
-// retry budget.
+// startNext sends the request to a server that has room for it, within the budgets, and reports whether it was sent.
 func (t *task) startNext(ctx context.Context, x *exchange) bool {
 	now := t.f.deps.Telemetry.Clock.Now()
 	if !t.canRetryRun() || t.isBlocked() || t.f.isAboutToStop(now) {
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -178,18 +178,15 @@
 	}
 }
 
-// giveUp logs why an attempt is given up and what was known about the other servers then; it returns false.
-func (t *task) giveUp(x *exchange, d delay, now timer.Millis) bool {
-	if x.res == nil {
-		t.recordSlowness(x, now-x.sentAt, now)
-	}
+// logGivenUp logs why an attempt is given up and what was known about the other servers then.
+func (t *task) logGivenUp(x *exchange, d delay, now timer.Millis) {
 	usual, samples := t.f.firstByteTime(t, x.model).get()
 	waiting, silent := t.f.silentServers(t, x.server, d.waited, now)
 	t.f.deps.Telemetry.Counter("requests.given-up." + d.reason).Inc(1)
-	t.f.deps.Telemetry.Log.Info("attempt given up", "request", t.ID, "server", x.server.Name, "attempt", t.attempts, "reason", d.reason,
-		"waited-ms", int64(d.waited), "limit-ms", int64(d.limit), "usual-ms", int64(usual), "samples", samples, "expected-ms", int64(x.expected), "quick", t.slowness(x.model).quick(now),
-		"progress", x.progress(), "others-waiting", waiting, "others-silent", silent, "policy", t.view.Policy.Version)
-	return false
+	t.f.deps.Telemetry.Log.Info("attempt given up", "request", t.ID, "server", x.server.Name, "attempt", t.attempts,
+		"reason", d.reason, "waited-ms", int64(d.waited), "limit-ms", int64(d.limit), "usual-ms", int64(usual), "samples", samples,
+		"expected-ms", int64(x.expected), "quick", t.slowness(x.model).quick(now), "progress", x.progress(),
+		"others-waiting", waiting, "others-silent", silent, "policy", t.view.Policy.Version)
 }
 
 // silentServers counts the other servers of the request's service that have had a request of this instance for at least the
--- a/internal/forwarder/slowness.go
+++ b/internal/forwarder/slowness.go
@@ -95,8 +95,7 @@
 }
 
 // isSilenceShared reports whether the server of an attempt, and all others that this instance waits for, have sent nothing for most of
-// the time that the attempt has waited. Its silence is no evidence against it then: all are slow,
-// or this instance has been.
+// the time that the attempt has waited. Its silence is no evidence against it then: all are slow, or this instance has been.
 func (t *task) isSilenceShared(x *exchange, waited, now timer.Millis) bool {
 	silence := waited / 2
 	if x.server.silence(now) < silence || waited > maxSharedSilence || t.f.isSuspect(x, now) {
