--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -120,9 +120,9 @@
 
 // Retries configures the retry budget of entry instances.
 type Retries struct {
-	Share  decoder.Share `ini:"share" default:"20%" doc:"Repeats as a share of first attempts."`
-	Slack  int           `ini:"slack" default:"2" min:"0" max:"1000" doc:"Repeats at each instance beyond the share, within a window."`
-	Window timer.Millis  `ini:"window" default:"10s" min:"1s" doc:"Time in which the slack grows back."`
+	Share  decoder.Share `ini:"share" default:"20%" doc:"Repeats to a service as a share of its first attempts in the same window."`
+	Slack  int           `ini:"slack" default:"2" min:"0" max:"1000" doc:"Repeats to a service at each instance beyond the share, in any window."`
+	Window timer.Millis  `ini:"window" default:"10s" min:"1s" doc:"Window in which first attempts and repeats are counted."`
 }
 
 // Cascade configures when an entry instance escalates a request to a larger model.
