Choose a server and take its place in one step

Traced: a request counts in the load from its choice on, but the look at the loads and the place were still two steps, so that requests on several threads saw the same loads. The choice is held by one lock of the instance; nothing blocks within it.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,6 +89,8 @@
 	slowness sync.Map
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
+	// choiceMu is held while a server is chosen for a request.
+	choiceMu sync.Mutex
 	// placeGranted is closed and replaced when places at brittle servers are granted.
 	placeMu      sync.Mutex
 	placeGranted chan struct{}
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -67,8 +67,11 @@
 }
 
 // admittedServer returns the cheapest server that takes the request within its request limit, nil if there is none. The request
-// has a place there, which must be returned.
+// has a place there, which must be returned. The choice and the place are one step: requests that choose at the same moment would
+// otherwise see the same loads.
 func (t *task) admittedServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
+	t.f.choiceMu.Lock()
+	defer t.f.choiceMu.Unlock()
 	for {
 		s := t.cheapestServer(list, now, suspendedOnly)
 		if s == nil {
