Control instance: take no links once stopped, and greet with the stop

Cause: Control.Stop left the listener of links open, and greetings of a stopping instance did not say so. The leader took the stopped instance, which other instances still reached, for a spare: it became a learner, never got the log, and as the only learner kept all others out. The next loss took the majority.

Change: the greeting tells of the stop, also on links that open during it; the listener stops with the instance, and the links that are left close last, since replies to calls in flight still need them.

The test now also dials the stopped instance: fails before, passes after.

--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -122,11 +122,13 @@
 	defer cancel()
 	c.telemetry.Log.Info("control instance stops", "role", c.record.Status().Role)
 	err := c.steward.Stop(ctx)
-	for _, l := range []*listener{c.control, c.metrics} {
+	// A link that is opened now would reach an instance that answers nothing.
+	for _, l := range []*listener{c.links, c.control, c.metrics} {
 		if l != nil {
 			err = trace.NewAggregate(err, ignoreTimeout(l.stop(ctx)))
 		}
 	}
+	c.steward.CloseLinks()
 	err = trace.NewAggregate(err, c.record.Stop())
 	c.telemetry.Log.Info("control instance stopped", "error", err)
 	return err
--- a/internal/launcher/replaced_control_test.go
+++ b/internal/launcher/replaced_control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -92,6 +93,10 @@
 		if err := leader.Stop(); err != nil {
 			t.Fatal(err)
 		}
+		if conn, err := net.DialTimeout("tcp", string(leader.settings.Listen.Links), time.Second); err == nil {
+			_ = conn.Close()
+			t.Fatal("a stopped control instance accepts links")
+		}
 		running = append(running, d.startControl(11+n, d.entrySettings))
 		time.Sleep(catchUp)
 		if !put(2+n, ackBound) {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
@@ -60,6 +61,8 @@
 	events chan func()
 	tomb   tomb.Tomb
 
+	// stopping is true from the begin of Stop on.
+	stopping atomic.Bool
 	// mu protects connectionByAddress, pendingCalls and lastCallID.
 	mu sync.RWMutex
 	// connectionByAddress is one link to each connected control instance, for messages of the record.
@@ -112,7 +115,6 @@
 	memberTimer        <-chan timer.Tick
 	alarms             *alarmBoard
 	alarmTimer         <-chan timer.Tick
-	stopping           bool
 	unconfirmedServers unconfirmedServers
 	// rosterDirty is true if the roster has changed since rosterSavedAt, when it was last passed to rosterSaves.
 	rosterDirty   bool
@@ -144,13 +146,20 @@
 func (s *Steward) LinkHandler() messenger.LinkHandler {
 	return messenger.LinkHandler{
 		Telemetry:   s.deps.Telemetry,
-		NewGreeting: func() messenger.Greeting { return s.deps.Self },
+		NewGreeting: s.newGreeting,
 		OnOpen:      func(conn *messenger.Link) { s.enqueue(func() { s.handleOpened(conn) }) },
 		OnClose:     func(conn *messenger.Link) { s.enqueue(func() { s.handleClosed(conn) }) },
 		OnPacket:    s.handlePacket,
 	}
 }
 
+// newGreeting returns the greeting of this instance, which tells whether it is stopping.
+func (s *Steward) newGreeting() messenger.Greeting {
+	g := s.deps.Self
+	g.Stopping = s.stopping.Load()
+	return g
+}
+
 // Start starts the goroutines that connect to the other control instances and handle events.
 func (s *Steward) Start() {
 	s.tomb.Go(s.loop)
@@ -158,12 +167,12 @@
 	s.tomb.Go(s.runSaves)
 }
 
-// Stop announces the stop to the connected instances, transfers leadership if that is possible in time, and closes all links.
+// Stop announces the stop to the connected instances, transfers leadership if that is possible in time, and ends the goroutines.
+// Links that other instances opened stay until CloseLinks, for the replies to calls in flight.
 func (s *Steward) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
 	s.enqueue(func() {
-		s.stopping = true
-		greeting := s.deps.Self
-		greeting.Stopping = true
+		greeting := s.newGreeting()
 		for conn := range s.connections {
 			conn.Send(messenger.Packet{Greeting: &greeting})
 		}
@@ -180,6 +189,13 @@
 	return trace.NewAggregate(s.dialer.Stop(), s.tomb.Wait())
 }
 
+// CloseLinks closes the links that are left after Stop.
+func (s *Steward) CloseLinks() {
+	for conn := range s.connections {
+		conn.Close()
+	}
+}
+
 // leaderTransferWait lets a new leader be elected before the links close; an election among healthy voters takes
 // two round trips.
 const leaderTransferWait = 300 * timer.Millisecond
@@ -330,6 +346,11 @@
 func (s *Steward) handleOpened(conn *messenger.Link) {
 	peer := conn.PeerGreeting()
 	s.connections[conn] = peer
+	if s.stopping.Load() {
+		// The link may have sent its greeting before the stop began.
+		greeting := s.newGreeting()
+		conn.Send(messenger.Packet{Greeting: &greeting})
+	}
 	if peer.Address != "" {
 		s.rememberAddress(peer.Address)
 		s.identityByAddress[peer.Address] = peer.Member
