Members of the record: only a connected learner counts as ready

Cause: a learner that had the log counted as ready until it was removed for its silence, 5 s later by the default. A learner that was just lost took the place of a silent voter, which is no replacement.

Change: a learner is ready while it is connected and has the log.

Two cases of TestPlanMembers fail before and pass after.

--- a/internal/steward/membership.go
+++ b/internal/steward/membership.go
@@ -25,7 +25,7 @@
 
 // planMembers returns the next membership, which differs by one change, and the reason; an empty reason means no
 // change. A voter with a lost disk can never vote again and is removed at once, which does not increase the quorum. A
-// voter that is only silent is removed once a learner has the whole log.
+// voter that is only silent is removed once a learner that is connected has the whole log.
 func planMembers(m replicator.Members, view membershipView, cfg Config) (replicator.Members, string) {
 	for _, id := range slices.Concat(m.Voters, m.Learners) {
 		if id != view.self && view.isReplaced(id) {
@@ -40,7 +40,7 @@
 	lost := view.longestSilentVoter(m.Voters, cfg.ReplaceAfter)
 	for _, id := range m.Learners {
 		switch {
-		case !view.caughtUp(id):
+		case !view.isReady(id):
 		case len(m.Voters) < cfg.Voters:
 			return m.WithVoter(id), "the learner " + string(id) + " becomes a voter"
 		case lost != "":
@@ -58,6 +58,11 @@
 	return m, ""
 }
 
+// isReady reports whether a learner can vote at once.
+func (v membershipView) isReady(id replicator.ID) bool {
+	return v.caughtUp(id) && v.silence(id) == 0
+}
+
 // isReplaced reports whether an instance with another identity is connected from the address of a member.
 func (v membershipView) isReplaced(id replicator.ID) bool {
 	return slices.ContainsFunc(v.connected, func(other replicator.ID) bool {
--- a/internal/steward/membership_test.go
+++ b/internal/steward/membership_test.go
@@ -54,6 +54,16 @@
 			silentFor: map[replicator.ID]timer.Millis{"b#1": 20 * timer.Second},
 			want:      replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("d#1")},
 		},
+		"a learner that is not connected does not become a voter": {
+			members: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")}, connected: ids("c#1"),
+			silentFor: map[replicator.ID]timer.Millis{"b#2": timer.Millisecond},
+			want:      replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")},
+		},
+		"a silent voter stays while the learner is not connected": {
+			members: replicator.Members{Voters: threeVoters, Learners: ids("d#1")}, connected: ids("c#1"),
+			silentFor: map[replicator.ID]timer.Millis{"b#1": 20 * timer.Second, "d#1": timer.Millisecond},
+			want:      replicator.Members{Voters: threeVoters, Learners: ids("d#1")},
+		},
 		"the voter with the longest silence is removed first": {
 			members:   replicator.Members{Voters: ids("a#1", "b#1", "c#1", "e#1", "f#1"), Learners: ids("d#1")},
 			connected: ids("d#1", "e#1", "f#1"),
