Members of the record: a spare that gets no log keeps no other out

Cause: there was one learner at a time, and one that is reached but never gets the log (its disk hangs, or it only answers its links) stayed for good. No lost voter could be replaced then.

Change: after 1 s without a learner that is ready, the next connected spare becomes a learner too. Learners have no vote, and a silent one is removed as before.

Ruled out: to remove the learner that does not follow; it would come back as the next spare, and a slow one would start anew each time.

--- a/internal/launcher/replaced_control_test.go
+++ b/internal/launcher/replaced_control_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
@@ -104,3 +105,51 @@
 		}
 	}
 }
+
+// Guards against a spare that is reached and never gets the log: as the only learner it would keep all other spares out.
+func TestSpareWithoutTheLogKeepsNoOtherOut(t *testing.T) {
+	// A new machine counts as lost for this long after its start, by the users' bound.
+	const limit = 4 * time.Second
+	d := newDeploymentWith(t, func(s *configurer.Settings) { s.Record.ReplaceAfter = deployedReplaceAfter(t) })
+	defer d.stop()
+	leader := func() *Control {
+		for _, c := range d.control {
+			if c != nil && c.record.Status().Role == replicator.RoleLeader {
+				return c
+			}
+		}
+		return nil
+	}
+	waitFor := func(what string, isTrue func(replicator.Members) bool) {
+		t.Helper()
+		for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+			if l := leader(); l != nil && isTrue(l.record.Status().Members) {
+				return
+			}
+		}
+		t.Fatalf("%s: not within %v", what, limit)
+	}
+	mute := replicator.ID("127.0.0.99:1#mute")
+	dialer := messenger.NewDialer(messenger.LinkHandler{
+		Telemetry: observer.NewDiscard(timer.NewSystemClock()),
+		NewGreeting: func() messenger.Greeting {
+			return messenger.Greeting{Instance: "mute", DataCentre: "a", Address: "127.0.0.99:1", Member: mute}
+		},
+		OnOpen: func(*messenger.Link) {}, OnClose: func(*messenger.Link) {}, OnPacket: func(*messenger.Link, messenger.Packet) {},
+	})
+	defer func() { _ = dialer.Stop() }()
+	var links []string
+	for _, c := range d.control {
+		links = append(links, string(c.settings.Listen.Links))
+	}
+	dialer.SetAddresses(links)
+	waitFor("the mute spare is a learner", func(m replicator.Members) bool { return slices.Contains(m.Learners, mute) })
+	// A voter that does not lead is lost.
+	i := slices.IndexFunc(d.control[:], func(c *Control) bool { return c != leader() })
+	if err := d.control[i].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	d.control[i] = nil
+	spare := d.startControl(11, d.entrySettings)
+	waitFor("the working spare votes", func(m replicator.Members) bool { return m.IsVoter(spare.record.ID()) && len(m.Voters) == 3 })
+}
--- a/internal/steward/membership.go
+++ b/internal/steward/membership.go
@@ -9,8 +9,12 @@
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// membershipCheckInterval is the time between checks of the record's members.
-const membershipCheckInterval = 200 * timer.Millisecond
+const (
+	// membershipCheckInterval is the time between checks of the record's members.
+	membershipCheckInterval = 200 * timer.Millisecond
+	// catchUpTimeout is the time after which another spare becomes a learner too, because the ones so far do not get the whole log.
+	catchUpTimeout = 1 * timer.Second
+)
 
 // membershipView is the leader's view of the instances that are or could become members.
 type membershipView struct {
@@ -21,6 +25,8 @@
 	silence func(replicator.ID) timer.Millis
 	// caughtUp reports whether a learner has the whole log.
 	caughtUp func(replicator.ID) bool
+	// learnerFor returns how long this leader has had a member as a learner that was not ready to vote, in milliseconds.
+	learnerFor func(replicator.ID) timer.Millis
 }
 
 // planMembers returns the next membership, which differs by one change, and the reason; an empty reason means no
@@ -47,7 +53,7 @@
 			return m.Without(lost), "the voter " + string(lost) + " fell silent"
 		}
 	}
-	if len(m.Learners) > 0 {
+	if slices.ContainsFunc(m.Learners, func(id replicator.ID) bool { return view.isReady(id) || view.learnerFor(id) <= catchUpTimeout }) {
 		return m, ""
 	}
 	for _, id := range view.connected {
@@ -144,5 +150,16 @@
 		}
 	}
 	view.silence = func(id replicator.ID) timer.Millis { return now - s.memberSeenAt[id] }
+	for id := range s.learnerSince {
+		if !slices.Contains(m.Learners, id) {
+			delete(s.learnerSince, id)
+		}
+	}
+	for _, id := range m.Learners {
+		if _, ok := s.learnerSince[id]; !ok || view.isReady(id) {
+			s.learnerSince[id] = now
+		}
+	}
+	view.learnerFor = func(id replicator.ID) timer.Millis { return now - s.learnerSince[id] }
 	return view
 }
--- a/internal/steward/membership_test.go
+++ b/internal/steward/membership_test.go
@@ -15,6 +15,7 @@
 		members       replicator.Members
 		connected     []replicator.ID
 		silentFor     map[replicator.ID]timer.Millis
+		learnerFor    timer.Millis
 		learnerBehind bool
 		want          replicator.Members
 	}{
@@ -54,6 +55,21 @@
 			silentFor: map[replicator.ID]timer.Millis{"b#1": 20 * timer.Second},
 			want:      replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("d#1")},
 		},
+		"another spare waits while a learner gets the log": {
+			members: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")}, connected: ids("b#2", "c#1", "d#1"),
+			learnerBehind: true, learnerFor: catchUpTimeout,
+			want: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")},
+		},
+		"another spare becomes a learner where the first one does not get the log": {
+			members: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")}, connected: ids("b#2", "c#1", "d#1"),
+			learnerBehind: true, learnerFor: catchUpTimeout + timer.Millisecond,
+			want: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2", "d#1")},
+		},
+		"another spare becomes a learner where the first one is gone": {
+			members: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")}, connected: ids("c#1", "d#1"),
+			silentFor: map[replicator.ID]timer.Millis{"b#2": catchUpTimeout}, learnerFor: catchUpTimeout + timer.Millisecond,
+			want: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2", "d#1")},
+		},
 		"a learner that is not connected does not become a voter": {
 			members: replicator.Members{Voters: ids("a#1", "c#1"), Learners: ids("b#2")}, connected: ids("c#1"),
 			silentFor: map[replicator.ID]timer.Millis{"b#2": timer.Millisecond},
@@ -75,8 +91,9 @@
 		t.Run(name, func(t *testing.T) {
 			view := membershipView{
 				self: "a#1", connected: tt.connected,
-				silence:  func(id replicator.ID) timer.Millis { return tt.silentFor[id] },
-				caughtUp: func(replicator.ID) bool { return !tt.learnerBehind },
+				silence:    func(id replicator.ID) timer.Millis { return tt.silentFor[id] },
+				caughtUp:   func(replicator.ID) bool { return !tt.learnerBehind },
+				learnerFor: func(replicator.ID) timer.Millis { return tt.learnerFor },
 			}
 			voters := 3
 			if len(tt.members.Voters) > voters {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -90,6 +90,8 @@
 	rollOutJudges map[string]*rollOutJudge
 	outcomes      map[string][]messenger.Outcomes
 	memberSeenAt  map[replicator.ID]timer.Millis
+	// learnerSince is when each learner was last ready to vote, or became a learner.
+	learnerSince map[replicator.ID]timer.Millis
 	// identityByAddress is the identity in the latest greeting from each address.
 	identityByAddress map[string]replicator.ID
 	// evidence is what all instances have reported on requests that crash backend servers.
@@ -131,7 +133,7 @@
 		roster: registrar.NewRoster(), announcedHere: map[string]lastAnnouncement{},
 		notServingSince:  map[string]timer.Millis{},
 		rollOutStartedAt: map[string]timer.Millis{}, rollOutJudges: map[string]*rollOutJudge{}, alarms: newAlarmBoard(), pendingMembers: map[string]registrar.Member{}, outcomes: map[string][]messenger.Outcomes{},
-		memberSeenAt: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
+		memberSeenAt: map[replicator.ID]timer.Millis{}, learnerSince: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		evidence: quarantiner.NewEvidence(), rates: rationer.NewBoard[*messenger.Link](), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		places: allotter.NewLedger[string](), placeLinks: map[string]*messenger.Link{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
