Own interface: keep a silent answer until the request has a place elsewhere

The dispatcher ended an answer after 20 s of silence (engine-stall), before the head or within the body, and the router looked for another server and a retry of the budget afterwards. Where there was neither, an answer that was only slow was lost.

Change: when an answer has stalled, the dispatcher asks whether the request continues elsewhere. The router says so once it has reserved a place at a server that has room and is sound, together with a retry of the budget; the next attempt uses both. Else the answer goes on and the question is asked again every 100 ms. Requests that must not run twice are never left.

Ruled out: a second attempt beside the first, as entry instances have it; their servers refuse what exceeds their slots, those of the own interface queue it, and this instance knows their load from their announcements.

TestStalledAnswers now lets go on request, its checks are the same; TestStalledAnswerIsKeptUntilItMayBeLeft is new.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -102,7 +102,7 @@
 	Deadline     timer.Millis  `ini:"deadline" default:"5m" min:"100ms" max:"1h" doc:"Longest time for a request that sets no deadline, and the most that one may ask for."`
 	CallerStall  timer.Millis  `ini:"caller-stall" default:"30s" min:"100ms" max:"10m" doc:"Longest time that a caller may leave a piece of its answer unread."`
 	HeaderWait   timer.Millis  `ini:"header-wait" default:"10s" min:"100ms" max:"5m" doc:"Longest time for a caller to send its request header."`
-	EngineStall  timer.Millis  `ini:"engine-stall" default:"20s" min:"100ms" max:"10m" doc:"Longest silence of a model engine within an answer."`
+	EngineStall  timer.Millis  `ini:"engine-stall" default:"20s" min:"100ms" max:"10m" doc:"Silence of a backend server within an answer after which the request goes to another one, once one has room."`
 	RetryShare   decoder.Share `ini:"retry-share" default:"20%" doc:"Most retries, as a share of first attempts."`
 	MaxAttempts  int           `ini:"max-attempts" default:"4" min:"1" max:"16" doc:"Most attempts for one request."`
 	MaxExplained int           `ini:"max-explained" default:"10000" min:"0" max:"1000000" doc:"Most requests whose decisions are kept for explain."`
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -48,6 +48,9 @@
 	Priority    int
 	// NoTransportRetry keeps the HTTP transport from retrying the call; the call uses a new connection.
 	NoTransportRetry bool
+	// MayLeave is called when the answer has stalled, and again until it makes progress. It reports whether the request
+	// continues elsewhere, which ends the call with ErrStalled; nil keeps the call until its context ends.
+	MayLeave func() bool
 }
 
 // SendError is a failed attempt; Ran says whether the backend server may have run it.
@@ -71,8 +74,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// RecordProgress is called for each complete event of a stream; an answer without progress is cancelled after the
-	// stall timeout. Nil records nothing.
+	// RecordProgress is called for each complete event of a stream; an answer without progress has stalled after the stall
+	// timeout. Nil records nothing.
 	RecordProgress func()
 }
 
@@ -83,14 +86,14 @@
 	stallTimeout timer.Millis
 }
 
-// NewDispatcher returns a dispatcher that fails a call when the answer makes no progress for stallTimeout milliseconds.
+// NewDispatcher returns a dispatcher that asks whether a call may be left when the answer makes no progress for stallTimeout
+// milliseconds.
 func NewDispatcher(stallTimeout timer.Millis) *Dispatcher {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
-		ResponseHeaderTimeout:  stallTimeout.Duration(),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
@@ -134,12 +137,15 @@
 	if call.NoTransportRetry {
 		transport = d.unpooled
 	}
+	watch := newStallWatch(d.stallTimeout, call.MayLeave, cancel)
+	watch.beginWait()
 	res, err := transport.RoundTrip(req)
+	watch.endWait()
 	if err != nil {
 		cancel(err)
 		return nil, &SendError{Ran: ranIfFailed(connected.Load()), Err: err}
 	}
-	body := newStallBody(res.Body, d.stallTimeout, cancel)
+	body := &stallBody{body: res.Body, watch: watch}
 	id := res.Header.Get(receiver.HeaderRequestID)
 	if id != "" && id != call.RequestID {
 		// The transport takes whatever comes first on a reused connection for the answer.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -17,12 +17,17 @@
 )
 
 func send(t *testing.T, stall timer.Millis, handler http.HandlerFunc) (*Response, error) {
+	t.Helper()
+	return sendWith(t, stall, func() bool { return true }, handler)
+}
+
+func sendWith(t *testing.T, stall timer.Millis, mayLeave func() bool, handler http.HandlerFunc) (*Response, error) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	d := NewDispatcher(stall)
 	t.Cleanup(d.Close)
-	return d.Send(context.Background(), Call{Address: strings.TrimPrefix(server.URL, "http://"), RequestID: "own", Method: http.MethodPost, Path: "/"})
+	return d.Send(context.Background(), Call{Address: strings.TrimPrefix(server.URL, "http://"), RequestID: "own", Method: http.MethodPost, Path: "/", MayLeave: mayLeave})
 }
 
 // The transport takes a late copy of another answer for the one that it waits for.
@@ -103,6 +108,54 @@
 	}
 }
 
+// Guards against a working answer that is lost for its silence although nothing replaces it.
+func TestStalledAnswerIsKeptUntilItMayBeLeft(t *testing.T) {
+	const stall, pause = 100 * timer.Millisecond, 600 * time.Millisecond
+	tests := map[string]struct {
+		// pausesFirst makes the server pause before the head of its answer, else in the middle of it.
+		pausesFirst bool
+		// leavesAt is the question at which the answer may be left, 0 for none.
+		leavesAt int
+		stalled  bool
+	}{
+		"silent before the head, never left":      {true, 0, false},
+		"silent in the middle, never left":        {false, 0, false},
+		"silent before the head, left on request": {true, 2, true},
+		"silent in the middle, left on request":   {false, 2, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			questions := 0
+			mayLeave := func() bool {
+				questions++
+				return questions == tt.leavesAt
+			}
+			res, err := sendWith(t, stall, mayLeave, func(w http.ResponseWriter, r *http.Request) {
+				if !tt.pausesFirst {
+					if _, err := io.WriteString(w, "a"); err != nil || http.NewResponseController(w).Flush() != nil {
+						return
+					}
+				}
+				select {
+				case <-time.After(pause):
+				case <-r.Context().Done():
+					return
+				}
+				_, _ = io.WriteString(w, "b")
+			})
+			var text []byte
+			if err == nil {
+				defer func() { _ = res.Body.Close() }()
+				text, err = io.ReadAll(res.Body)
+			}
+			if (err != nil) != tt.stalled || err == nil && !strings.HasSuffix(string(text), "b") {
+				t.Fatalf("got %q, %v after %d questions; want a stall: %t", text, err, questions, tt.stalled)
+			}
+		})
+	}
+}
+
 // Guards against an earlier refusal that a server sends once more on a kept connection and that is taken for the answer to the
 // next call, which the server runs.
 func TestLateCopyOfRefusalProvesNothing(t *testing.T) {
--- a/internal/router/model_task.go
+++ b/internal/router/model_task.go
@@ -50,6 +50,7 @@
 		return err
 	}
 	m.deps.RetryBudget.RecordFirstAttempt()
+	defer m.releaseReserved()
 	for {
 		err := m.attempt(ctx)
 		if err == nil {
@@ -137,7 +138,7 @@
 		return
 	}
 	m.faultyAnswers++
-	if m.faultyAnswers < faultsUntilEscalation {
+	if m.faultyAnswers < faultsUntilEscalation || m.reserved != nil {
 		return
 	}
 	sel, ok := m.deps.Selector.Escalate(m.view(), m.req, m.sel)
@@ -160,16 +161,11 @@
 }
 
 func (m *modelTask) attempt(ctx context.Context) error {
-	ticket, view, err := m.admitPermitted(ctx)
-	if err != nil {
-		return err
-	}
-	defer ticket.Release()
-	p, err := m.place(view, view.EngineServers(m.sel.Version), m.affinityKey())
+	p, release, err := m.takePlace(ctx)
 	if err != nil {
 		return err
 	}
-	defer p.Release()
+	defer release()
 	if err := m.exchange(ctx, p); err != nil {
 		m.recordFailure(ctx, p, err)
 		m.reportFault(err)
@@ -180,6 +176,35 @@
 	return nil
 }
 
+// takePlace takes the reserved place if its version is still permitted, or waits until the selected version's servers have room.
+// The caller must call release once the attempt has ended.
+func (m *modelTask) takePlace(ctx context.Context) (p placer.Placement, release func(), err error) {
+	if m.reserved != nil && m.deps.Selector.CheckPermitted(m.view(), m.req, m.sel) != nil {
+		m.releaseReserved()
+	}
+	if p, ok := m.takeReserved(); ok {
+		return p, p.Release, nil
+	}
+	ticket, view, err := m.admitPermitted(ctx)
+	if err != nil {
+		return p, nil, err
+	}
+	if p, err = m.place(view, view.EngineServers(m.sel.Version), m.affinityKey()); err != nil {
+		ticket.Release()
+		return p, nil, err
+	}
+	return p, func() { p.Release(); ticket.Release() }, nil
+}
+
+// mayLeave reports whether a stalled answer of the version may be left: another server has room, and can continue the answer.
+func (m *modelTask) mayLeave() bool {
+	view := m.view()
+	if m.deps.Selector.CheckPermitted(view, m.req, m.sel) != nil || m.reply.Started() && !m.progress.HasChunkIDs {
+		return false
+	}
+	return m.reserve(view, view.EngineServers(m.sel.Version), m.affinityKey())
+}
+
 // admitPermitted waits until the selected version's servers have room. A version that was withdrawn meanwhile is replaced
 // by another one; the returned view permits the version.
 func (m *modelTask) admitPermitted(ctx context.Context) (*admitter.Ticket, *indexer.View, error) {
@@ -243,6 +268,7 @@
 	return dispatcher.Call{
 		Address: p.Server.Address, RequestID: m.req.ID, Attempt: m.attempts, Method: http.MethodPost, Path: m.req.Path,
 		Header: m.req.Header, Body: m.requestBody, LastEventID: lastEventID, Priority: m.req.Priority(),
+		MayLeave: m.mayLeave,
 	}
 }
 
--- a/internal/router/service_task.go
+++ b/internal/router/service_task.go
@@ -27,6 +27,7 @@
 		return err
 	}
 	s.deps.RetryBudget.RecordFirstAttempt()
+	defer s.releaseReserved()
 	for {
 		answer, err := s.attempt(ctx)
 		if err == nil {
@@ -99,17 +100,11 @@
 }
 
 func (s *serviceTask) attempt(ctx context.Context) (claimer.Answer, error) {
-	ticket, err := s.admitToPool(ctx, "service/"+s.req.Service, func() []registrar.BackendServer { return s.view().ServiceServers(s.req.Service) })
-	if err != nil {
-		return claimer.Answer{}, err
-	}
-	defer ticket.Release()
-	view := s.view()
-	p, err := s.place(view, view.ServiceServers(s.req.Service), "")
+	p, release, err := s.takePlace(ctx)
 	if err != nil {
 		return claimer.Answer{}, err
 	}
-	defer p.Release()
+	defer release()
 	answer, err := s.exchange(ctx, p)
 	if err != nil {
 		s.recordFailure(ctx, p, err)
@@ -119,6 +114,30 @@
 	return answer, nil
 }
 
+// takePlace takes the reserved place, or waits until the service's servers have room. The caller must call release once the attempt
+// has ended.
+func (s *serviceTask) takePlace(ctx context.Context) (p placer.Placement, release func(), err error) {
+	if p, ok := s.takeReserved(); ok {
+		return p, p.Release, nil
+	}
+	ticket, err := s.admitToPool(ctx, "service/"+s.req.Service, func() []registrar.BackendServer { return s.view().ServiceServers(s.req.Service) })
+	if err != nil {
+		return p, nil, err
+	}
+	view := s.view()
+	if p, err = s.place(view, view.ServiceServers(s.req.Service), ""); err != nil {
+		ticket.Release()
+		return p, nil, err
+	}
+	return p, func() { p.Release(); ticket.Release() }, nil
+}
+
+// mayLeave reports whether a stalled answer may be left: the request may run twice, and another server has room.
+func (s *serviceTask) mayLeave() bool {
+	view := s.view()
+	return s.req.Idempotent && s.reserve(view, view.ServiceServers(s.req.Service), "")
+}
+
 func (s *serviceTask) exchange(ctx context.Context, p placer.Placement) (claimer.Answer, error) {
 	service, _ := s.view().Document.Service(s.req.Service)
 	ctx, cancel := context.WithTimeout(ctx, service.Timeout.Duration())
@@ -158,6 +177,7 @@
 	return dispatcher.Call{
 		Address: p.Server.Address, RequestID: s.req.ID, Attempt: s.attempts, Method: s.req.Method, Path: s.req.Path,
 		Query: s.req.Query, Header: s.req.Header, Body: s.req.Body, Priority: s.req.Priority(), NoTransportRetry: !s.req.Idempotent,
+		MayLeave: s.mayLeave,
 	}
 }
 
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -32,6 +32,9 @@
 	notRun int
 	// ran is the worst case over all attempts so far; empty means that none has run.
 	ran receiver.Ran
+	// reserved is the place of the next attempt and its server, taken with a retry of the budget before a stalled answer is
+	// left; nil if there is none.
+	reserved *placer.Placement
 }
 
 // view returns the newest view of the request's environment.
@@ -52,11 +55,16 @@
 	if !ok {
 		return p, t.noServerError()
 	}
+	t.recordAttempt(p)
+	return p, nil
+}
+
+// recordAttempt counts an attempt at the server of a placement.
+func (t *task) recordAttempt(p placer.Placement) {
 	t.attempts++
 	t.triedServers = append(t.triedServers, p.Server.Name)
 	t.metrics.attempts.Inc(1)
 	t.decisions.Record("placer", "attempt %d on %s of %d candidates, score %.3f, affinity %t", t.attempts, p.Server.Name, p.Candidates, p.Score, p.ByAffinity)
-	return p, nil
 }
 
 // admitToPool waits in the pool's queue until its servers have room for the request.
@@ -152,6 +160,11 @@
 		t.metrics.retries.Inc(1)
 		return true
 	}
+	if t.reserved != nil {
+		// The retry was taken from the budget together with the place.
+		t.metrics.retries.Inc(1)
+		return true
+	}
 	if t.attempts-t.notRun >= t.deps.Limits.MaxAttempts {
 		return false
 	}
