Own interface: a spare that gets no log keeps no other out of the record

Change: a learner without the whole log for 1 s counts as stuck, and the next spare becomes a learner too; a learner that is not needed any more is removed, as a stuck one may catch up after another has the vote.

Shown by the table of the plan (four new cases; the case of a stuck learner proposed it as a voter before).

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/recorder"
 	"github.com/eelgrasshook/eelgrasshook/internal/replicator"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// membershipInterval is the time between checks of the membership of the record.
-const membershipInterval = 300 * timer.Millisecond
+const (
+	// membershipInterval is the time between checks of the membership of the record.
+	membershipInterval = 300 * timer.Millisecond
+	// catchUpTimeout is the time after which another spare becomes a learner too, because the ones so far do not get the whole log.
+	catchUpTimeout = 1 * timer.Second
+)
 
 // runMembership keeps the wanted number of voters while this instance leads, one membership change at a time.
 func (c *Coordinator) runMembership() error {
 	ctx := c.tomb.Context(context.Background())
+	// readyAt is when each learner last had the whole log, or became a learner.
+	readyAt := map[replicator.ID]timer.Millis{}
 	for {
 		select {
 		case <-c.deps.Telemetry.Clock.After(membershipInterval):
@@ -21,10 +29,15 @@
 			return nil
 		}
 		if !c.hasLease() {
+			clear(readyAt)
 			continue
 		}
 		current := c.deps.Record.Status().Members
-		next, reason := planMembers(current, c.candidates(), c.deps.Config)
+		list := c.candidates()
+		if err := c.markStuckLearners(ctx, current.Learners, list, readyAt); err != nil {
+			return nil
+		}
+		next, reason := planMembers(current, list, c.deps.Config)
 		if reason == "" {
 			continue
 		}
@@ -43,6 +56,8 @@
 	// silentFor is the time since the last message of the instance.
 	silentFor timer.Millis
 	stopping  bool
+	// isStuck is true for a learner that has not had the whole log for catchUpTimeout.
+	isStuck bool
 }
 
 // candidates returns this instance and all others that can be members.
@@ -57,21 +72,51 @@
 	return list
 }
 
+// markStuckLearners marks the candidates that are learners and do not get the whole log; readyAt outlasts the call. It fails when ctx
+// ends.
+func (c *Coordinator) markStuckLearners(ctx context.Context, learners []replicator.ID, list []candidate, readyAt map[replicator.ID]timer.Millis) error {
+	now := c.deps.Telemetry.Clock.Now()
+	maps.DeleteFunc(readyAt, func(id replicator.ID, _ timer.Millis) bool { return !slices.Contains(learners, id) })
+	for i := range list {
+		id := list[i].id
+		if !slices.Contains(learners, id) {
+			continue
+		}
+		caughtUp, err := c.deps.Record.IsCaughtUp(ctx, id)
+		if err != nil {
+			return err
+		}
+		if _, known := readyAt[id]; !known || caughtUp {
+			readyAt[id] = now
+		}
+		list[i].isStuck = now-readyAt[id] > catchUpTimeout
+	}
+	return nil
+}
+
 // planMembers returns the next membership and the reason for it; the reason is empty if no change is needed. A lost
 // voter is removed only after its replacement votes, so that the record survives a second loss right after a repair.
 func planMembers(m replicator.Members, candidates []candidate, cfg Config) (replicator.Members, string) {
-	if len(m.Learners) > 0 {
-		id := m.Learners[0]
-		if c, ok := findCandidate(candidates, id); ok && c.silentFor <= cfg.SilenceTimeout {
-			return m.WithVoter(id), "the learner " + string(id) + " becomes a voter"
-		}
-		return m.Without(id), "the learner " + string(id) + " is unreachable"
-	}
 	lost := lostVoter(m, candidates, cfg)
 	healthyVoters := len(m.Voters)
 	if lost != "" {
 		healthyVoters--
 	}
+	var ready replicator.ID
+	for _, id := range m.Learners {
+		c, ok := findCandidate(candidates, id)
+		switch {
+		case !ok || c.silentFor > cfg.SilenceTimeout:
+			return m.Without(id), "the learner " + string(id) + " is unreachable"
+		case healthyVoters >= cfg.VoterCount:
+			return m.Without(id), "the learner " + string(id) + " is not needed"
+		case ready == "" && !c.isStuck:
+			ready = id
+		}
+	}
+	if ready != "" {
+		return m.WithVoter(ready), "the learner " + string(ready) + " becomes a voter"
+	}
 	if healthyVoters < cfg.VoterCount {
 		if id, ok := bestSpare(m, candidates, cfg); ok {
 			return m.WithLearner(id), "the spare " + string(id) + " becomes a learner"
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -15,6 +15,7 @@
 	silent := func(id replicator.ID, dc string, silentFor timer.Millis) candidate {
 		return candidate{id: id, dataCentre: dc, silentFor: silentFor}
 	}
+	stuck := func(id replicator.ID, dc string) candidate { return candidate{id: id, dataCentre: dc, isStuck: true} }
 	tests := map[string]struct {
 		voters, learners []replicator.ID
 		candidates       []candidate
@@ -33,6 +34,10 @@
 		"lost voter is removed after its replacement votes": {parseIDs("a b c d"), nil, []candidate{reachable("a", "1"), reachable("b", "2"), silent("c", "3", 40_000), reachable("d", "3")}, "a b d", ""},
 		"lost voter, no spare":                              {parseIDs("a b c"), nil, []candidate{reachable("a", "1"), reachable("b", "2"), silent("c", "3", 40_000)}, "", ""},
 		"voter with a wiped disk has a new id":              {parseIDs("a b c"), nil, []candidate{reachable("a", "1"), reachable("b", "2"), reachable("c2", "3")}, "a b c", "c2"},
+		"stuck learner, another spare becomes a learner":    {parseIDs("a b"), parseIDs("c"), []candidate{reachable("a", "1"), reachable("b", "2"), stuck("c", "3"), reachable("d", "3")}, "a b", "c d"},
+		"stuck learner, no other spare":                     {parseIDs("a b"), parseIDs("c"), []candidate{reachable("a", "1"), reachable("b", "2"), stuck("c", "3")}, "", ""},
+		"learner behind a stuck one becomes a voter":        {parseIDs("a b"), parseIDs("c d"), []candidate{reachable("a", "1"), reachable("b", "2"), stuck("c", "3"), reachable("d", "3")}, "a b d", "c"},
+		"learner that is not needed any more":               {parseIDs("a b d"), parseIDs("c"), []candidate{reachable("a", "1"), reachable("b", "2"), stuck("c", "3"), reachable("d", "3")}, "a b d", ""},
 		"stopping spare is not used":                        {parseIDs("a"), nil, []candidate{reachable("a", "1"), {id: "b", dataCentre: "2", stopping: true}}, "", ""},
 	}
 	for name, tt := range tests {
