Pathfinder: an unconfirmed refusal stays unconfirmed while no gateway is asked

Cause, read and shown: after a race in which no gateway answered, none was asked for a second, and the plain error of the direct way was returned. An instance that is itself cut off so reported a refusal of its own network as the server's, and one report of a refusal suspends a server everywhere.

Change: what the gateways said last holds until they are asked again.

TestRefusalIsConfirmedByAGateway dials three times in place of once and fails before ("connection refused"); TestConfirmedRefusalIsRemembered keeps the opposite. Whether this was the cause of the one red run is not known: its log is lost.

--- a/internal/pathfinder/dial.go
+++ b/internal/pathfinder/dial.go
@@ -40,6 +40,27 @@
 	err     error
 }
 
+// verdict is what gateways have said about a server that was not reached.
+type verdict uint8
+
+const (
+	// verdictNone: no gateway was to be asked.
+	verdictNone verdict = iota
+	// verdictUnconfirmed: none has answered, so the fault may be that of this instance.
+	verdictUnconfirmed
+	// verdictUnreachable: a gateway does not reach the server either.
+	verdictUnreachable
+	// verdictRefused: the server's address refuses connections to a gateway too.
+	verdictRefused
+)
+
+// fruitlessRace is a race that gateways did not help.
+type fruitlessRace struct {
+	// until is when gateways are asked again.
+	until   timer.Millis
+	verdict verdict
+}
+
 // race is the search for a connection to one server.
 type race struct {
 	p        *Pathfinder
@@ -47,7 +68,9 @@
 	// ways are tried in this order; nil is the direct one.
 	ways []*gateway
 	// isDetour means that the direct way is known to be cut.
-	isDetour       bool
+	isDetour bool
+	// lastVerdict is that of the gateways in an earlier race, and holds while they are not asked again; verdictNone else.
+	lastVerdict    verdict
 	outcomes       chan attempt
 	started, ended int
 	failures       []attempt
@@ -85,10 +108,11 @@
 	defer p.mu.Unlock()
 	now := p.deps.Telemetry.Clock.Now()
 	var gateways []*gateway
-	if p.cutOff || now >= p.fruitless[e.Address] {
-		gateways = p.chooseGateways(e.DataCentre, now)
+	last := p.fruitless[e.Address]
+	if p.cutOff || now >= last.until {
+		gateways, last = p.chooseGateways(e.DataCentre, now), fruitlessRace{}
 	}
-	r := &race{p: p, endpoint: e, isDetour: p.isDetour(e.Address) && len(gateways) > 0}
+	r := &race{p: p, endpoint: e, isDetour: p.isDetour(e.Address) && len(gateways) > 0, lastVerdict: last.verdict}
 	if r.isDetour {
 		r.ways = append(gateways, nil)
 	} else {
@@ -188,38 +212,45 @@
 // failure returns the error of a race without a winner. It wraps syscall.ECONNREFUSED only if a gateway was refused too, or if
 // there is none to ask: an instance may be refused by a fault on its own way.
 func (r *race) failure(ctxErr error) error {
-	var confirmed, refused bool
+	v := min(r.lastVerdict, verdictUnreachable)
+	if len(r.ways) > 1 {
+		v = verdictUnconfirmed
+	}
 	text := ""
 	for _, f := range r.failures {
 		if isResting(f.err) {
 			return fmt.Errorf("%w, %w: %w", ErrNoPath, ErrUnconfirmed, f.err)
 		}
-		confirmed = confirmed || hasAnswered(f.err)
-		refused = refused || errors.Is(f.err, tunneler.ErrRefused)
+		switch {
+		case errors.Is(f.err, tunneler.ErrRefused), errors.Is(f.err, syscall.ECONNREFUSED) && r.lastVerdict == verdictRefused:
+			v = verdictRefused
+		case hasAnswered(f.err):
+			v = max(v, verdictUnreachable)
+		}
 		text += "; " + f.err.Error()
 	}
 	if ctxErr != nil {
 		text += "; " + ctxErr.Error()
 	}
 	if r.started > 1 && !errors.Is(ctxErr, context.Canceled) {
-		r.markFruitless()
+		r.markFruitless(v)
 	}
 	switch {
-	case len(r.ways) == 1 && len(r.failures) == 1:
+	case v == verdictNone && len(r.failures) == 1:
 		return r.failures[0].err
-	case refused:
+	case v == verdictRefused:
 		return fmt.Errorf("%w%s: %w", ErrNoPath, text, syscall.ECONNREFUSED)
-	case confirmed || len(r.ways) == 1:
-		return fmt.Errorf("%w%s", ErrNoPath, text)
+	case v == verdictUnconfirmed:
+		return fmt.Errorf("%w, %w%s", ErrNoPath, ErrUnconfirmed, text)
 	}
-	return fmt.Errorf("%w, %w%s", ErrNoPath, ErrUnconfirmed, text)
+	return fmt.Errorf("%w%s", ErrNoPath, text)
 }
 
-// markFruitless keeps the next connections to the server from asking gateways again.
-func (r *race) markFruitless() {
+// markFruitless keeps the next connections to the server from asking gateways again; what they have said holds until then.
+func (r *race) markFruitless(v verdict) {
 	r.p.mu.Lock()
 	defer r.p.mu.Unlock()
-	r.p.fruitless[r.endpoint.Address] = r.p.deps.Telemetry.Clock.Now() + fruitlessSpan
+	r.p.fruitless[r.endpoint.Address] = fruitlessRace{until: r.p.deps.Telemetry.Clock.Now() + fruitlessSpan, verdict: v}
 }
 
 // detourConn is a connection through a gateway.
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -56,8 +56,8 @@
 	// direct are the servers that were reached directly, by address, the last one at directAt.
 	direct   map[string]exchanger.Endpoint
 	directAt timer.Millis
-	// fruitless is until when no gateway is asked for a server, by address.
-	fruitless map[string]timer.Millis
+	// fruitless is the last race for each server that gateways did not help, by address.
+	fruitless map[string]fruitlessRace
 	// cutOff means that no server is reached directly.
 	cutOff bool
 	// detourTokens are the connections that may be tried through gateways at once.
@@ -68,7 +68,7 @@
 // NewPathfinder returns a pathfinder that knows of no gateway.
 func NewPathfinder(deps Deps) *Pathfinder {
 	return &Pathfinder{deps: deps, wake: make(chan struct{}, 1), detours: map[string]exchanger.Endpoint{},
-		direct: map[string]exchanger.Endpoint{}, fruitless: map[string]timer.Millis{}, detourTokens: maxDetourTokens}
+		direct: map[string]exchanger.Endpoint{}, fruitless: map[string]fruitlessRace{}, detourTokens: maxDetourTokens}
 }
 
 // Start starts the probes of the direct way, which run only while servers are reached through gateways.
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -180,8 +180,22 @@
 	p, n, list := newTestPathfinder(t, true, 1, 1)
 	n.set(n.cut, list, true)
 	p.gateways[0].Address = list[0].Address // The gateway cannot be asked.
-	if err := dial(p, list[0]); !errors.Is(err, ErrUnconfirmed) || errors.Is(err, syscall.ECONNREFUSED) {
-		t.Fatalf("got %v, want an error that does not blame the server", err)
+	// After the first time no gateway is asked for a while.
+	for range 3 {
+		if err := dial(p, list[0]); !errors.Is(err, ErrUnconfirmed) || errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("got %v, want an error that does not blame the server", err)
+		}
+	}
+}
+
+// Guards against the opposite: a refusal that a gateway has confirmed is known while no gateway is asked.
+func TestConfirmedRefusalIsRemembered(t *testing.T) {
+	p, n, list := newTestPathfinder(t, true, 1, 1)
+	n.set(n.down, list, true)
+	for range 3 {
+		if err := dial(p, list[0]); errors.Is(err, ErrUnconfirmed) || !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("got %v, want a refusal", err)
+		}
 	}
 }
 
