Pathfinder: a cut-off instance confirms no refusal, however little it knows

Cause: an instance that is asked to confirm that a server refuses tried up to two other servers that it had reached directly before. It trusted itself where it knew of one server or none, even if that one, tried just now, did not answer: a gateway that had sent few requests and was cut off beside the asking instance confirmed the refusal of a healthy server.

Change: it tries servers of the whole fleet where it has reached fewer than two others, and trusts itself untried only if the fleet has no other.

Three cases of TestReachesAnother fail before and pass after.

--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -53,6 +53,8 @@
 	// detours are the servers that are reached only through gateways, by address; firstDetourAt is the time of the oldest one.
 	detours       map[string]exchanger.Endpoint
 	firstDetourAt timer.Millis
+	// fleet holds the addresses of all servers; it is not changed.
+	fleet map[string]bool
 	// direct are the servers that were reached directly, by address, the last one at directAt.
 	direct   map[string]exchanger.Endpoint
 	directAt timer.Millis
@@ -120,10 +122,11 @@
 	return p.deps.Distance(p.deps.DataCentre, e.DataCentre)
 }
 
-// Retain forgets all servers but those at the given addresses.
+// Retain forgets all servers but those at the given addresses, which the caller must not change any more.
 func (p *Pathfinder) Retain(addresses map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.fleet = addresses
 	for _, m := range []map[string]exchanger.Endpoint{p.detours, p.direct} {
 		for a := range m {
 			if !addresses[a] {
@@ -210,16 +213,9 @@
 }
 
 // ReachesAnother reports whether this instance reaches a server other than the given one directly. Without that, its failure to
-// reach the given one says nothing.
+// reach the given one says nothing, unless the fleet has no other.
 func (p *Pathfinder) ReachesAnother(ctx context.Context, address string) bool {
-	p.mu.Lock()
-	known, others := len(p.direct)+len(p.detours), []exchanger.Endpoint{}
-	for a, e := range p.direct {
-		if a != address && len(others) < serversTried {
-			others = append(others, e)
-		}
-	}
-	p.mu.Unlock()
+	others := p.othersToTry(address)
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout.Duration())
 	defer cancel()
 	reached := make(chan bool, len(others))
@@ -231,7 +227,31 @@
 			return true
 		}
 	}
-	return known <= 1
+	return len(others) == 0
+}
+
+// othersToTry returns up to serversTried servers other than the given one: those that were reached directly first, which are the most
+// likely to be up.
+func (p *Pathfinder) othersToTry(address string) []exchanger.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var others []exchanger.Endpoint
+	for a, e := range p.direct {
+		if a != address && len(others) < serversTried {
+			others = append(others, e)
+		}
+	}
+	for a := range p.fleet {
+		if _, isDirect := p.direct[a]; isDirect || a == address || len(others) == serversTried {
+			continue
+		}
+		e, isDetour := p.detours[a]
+		if !isDetour {
+			e.Address = a
+		}
+		others = append(others, e)
+	}
+	return others
 }
 
 // connectsTo opens and closes a direct connection, and reports whether that succeeded.
@@ -242,7 +262,13 @@
 		return false
 	}
 	_ = conn.Close()
-	p.recordDirect(e)
+	p.mu.Lock()
+	_, isDetour := p.detours[e.Address]
+	_, isDirect := p.direct[e.Address]
+	p.mu.Unlock()
+	if isDetour || isDirect {
+		p.recordDirect(e)
+	}
 	return true
 }
 
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -286,18 +286,28 @@
 // Guards against an instance that is cut off without knowing and confirms to another one that servers are down.
 func TestReachesAnother(t *testing.T) {
 	tests := map[string]struct {
-		known, cut int
-		want       bool
+		// known is the number of servers of the fleet, dialed the index from which on this instance has reached them.
+		known, dialed, cut int
+		want               bool
 	}{
-		"knows only this server":    {1, 1, true},
-		"reaches the other servers": {3, 1, true},
-		"reaches one of the others": {3, 2, true},
-		"reaches no server":         {3, 3, false},
+		"knows only this server":                  {1, 0, 1, true},
+		"reaches the other servers":               {3, 0, 1, true},
+		"reaches one of the others":               {3, 0, 2, true},
+		"reaches no server":                       {3, 0, 3, false},
+		"has only reached another one, now cut":   {2, 1, 2, false},
+		"has reached none, and reaches none":      {3, 3, 3, false},
+		"has reached none, and reaches another":   {3, 3, 1, true},
+		"has reached one of the others, now cut": {3, 2, 3, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			p, n, list := newTestPathfinder(t, false, tt.known, 1)
+			fleet := map[string]bool{}
 			for _, e := range list {
+				fleet[e.Address] = true
+			}
+			p.Retain(fleet)
+			for _, e := range list[tt.dialed:] {
 				if err := dial(p, e); err != nil {
 					t.Fatal(err)
 				}
