Places of brittle servers: a slow keeper is not a silent one

Cause: a keeper that had not answered for 300 ms counted as silent, and each instance then went by its own knowledge. On a machine that is too busy all keepers are late for all instances at once, which then use places on top of those that the ledger has given away.

Change: the time is 3 s, longer than a silent link is kept. A keeper that is gone is replaced by then, and asked anew. The time goes on while requests come and go, and begins again with a new keeper.

Ruled out: fewer falls by lower shares in the fallback; it stays for the time in which no keeper is there.

TestSilentKeeperIsNoticed now counts from answerTimeout, same checks; two tests of the silence are new.

--- a/internal/allotter/ledger_test.go
+++ b/internal/allotter/ledger_test.go
@@ -339,6 +339,7 @@
 		t.Fatal("the silence is not noticed in time")
 	}
 	p.AddWaiting(-1)
+	now += answerTimeout
 	p.Claim(Claim{}, now+timer.Second, false)
 	if !p.IsKeeperSilent(now + timer.Second) {
 		t.Fatal("the silence is forgotten once nothing is wanted")
@@ -348,3 +349,30 @@
 		t.Fatal("the answer does not end the silence")
 	}
 }
+
+// Guards against a keeper that never counts as silent because no request waits as long as it may take to answer.
+func TestSilenceOutlastsTheRequestsThatWait(t *testing.T) {
+	var p Places
+	now := 1000 * timer.Second
+	for at := now; at < now+answerTimeout; at += 500 * timer.Millisecond {
+		p.AddWaiting(1)
+		p.Claim(Claim{}, at, false)
+		p.AddWaiting(-1)
+		p.Claim(Claim{}, at+100*timer.Millisecond, false)
+	}
+	if !p.IsKeeperSilent(now + answerTimeout) {
+		t.Fatal("the silence is not noticed")
+	}
+}
+
+// Guards against a new keeper that counts as silent for claims that the one before has not answered.
+func TestNewKeeperIsNotSilent(t *testing.T) {
+	var p Places
+	now := 1000 * timer.Second
+	p.AddWaiting(1)
+	p.Claim(Claim{}, now, false)
+	p.Claim(Claim{}, now+answerTimeout-timer.Millisecond, true)
+	if p.IsKeeperSilent(now + answerTimeout) {
+		t.Fatal("the new keeper counts as silent at once")
+	}
+}
--- a/internal/allotter/places.go
+++ b/internal/allotter/places.go
@@ -11,9 +11,10 @@
 	// tenure is how long an instance goes on to use a place for its own waiting requests before it gives it back, so that the
 	// requests of others get their turn.
 	tenure = 100 * timer.Millisecond
-	// answerTimeout is how long the keeper of the ledger may take to answer a claim. The round trip to the farthest one takes
-	// tens of milliseconds.
-	answerTimeout = 300 * timer.Millisecond
+	// answerTimeout is how long the keeper of the ledger may take to answer a claim. It is longer than a silent link is kept, after
+	// which another keeper is asked: a keeper that is only slow is silent to all instances at once, which would take places
+	// besides those that it has granted.
+	answerTimeout = 3 * timer.Second
 )
 
 // Places are the places of one incarnation of a server that this instance uses, may use and wants; safe for concurrent use.
@@ -149,10 +150,10 @@
 		p.reduced = p.sequence
 	}
 	switch {
-	case c.Wanted > c.Held && p.askedAt == 0:
+	case c.Wanted > c.Held && (p.askedAt == 0 || repeat && !p.isKeeperSilent(now)):
 		p.askedAt = now
-	case c.Wanted <= c.Held && !p.isKeeperSilent(now):
-		// Nothing is asked for that the keeper must answer. One that has been silent stays so until it answers.
+	case c.Wanted <= c.Held && repeat && !p.isKeeperSilent(now):
+		// Nothing is asked for that a new keeper must answer. One that has been silent stays so until it answers.
 		p.askedAt = 0
 	}
 	p.isClaimed, p.lastHeld, p.lastWanted, p.lastRefusals = true, c.Held, c.Wanted, c.Refusals
