--- a/internal/allotter/places.go
+++ b/internal/allotter/places.go
@@ -149,16 +149,21 @@
 	if c.Held < p.lastHeld {
 		p.reduced = p.sequence
 	}
+	p.recordAsked(c.Wanted > c.Held, repeat, now)
+	p.isClaimed, p.lastHeld, p.lastWanted, p.lastRefusals = true, c.Held, c.Wanted, c.Refusals
+	c.Sequence, c.Reduced = p.sequence, p.reduced
+	return c, true
+}
+
+// recordAsked notes since when the keeper has not answered a claim for more places; repeat means that the keeper may be another one.
+func (p *Places) recordAsked(wantsMore, repeat bool, now timer.Millis) {
 	switch {
-	case c.Wanted > c.Held && (p.askedAt == 0 || repeat && !p.isKeeperSilent(now)):
+	case wantsMore && (p.askedAt == 0 || repeat && !p.isKeeperSilent(now)):
 		p.askedAt = now
-	case c.Wanted <= c.Held && repeat && !p.isKeeperSilent(now):
+	case !wantsMore && repeat && !p.isKeeperSilent(now):
 		// Nothing is asked for that a new keeper must answer. One that has been silent stays so until it answers.
 		p.askedAt = 0
 	}
-	p.isClaimed, p.lastHeld, p.lastWanted, p.lastRefusals = true, c.Held, c.Wanted, c.Refusals
-	c.Sequence, c.Reduced = p.sequence, p.reduced
-	return c, true
 }
 
 // Apply applies a grant, and reports whether a waiting request may have a place now.
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -290,13 +290,13 @@
 		known, dialed, cut int
 		want               bool
 	}{
-		"knows only this server":                  {1, 0, 1, true},
-		"reaches the other servers":               {3, 0, 1, true},
-		"reaches one of the others":               {3, 0, 2, true},
-		"reaches no server":                       {3, 0, 3, false},
-		"has only reached another one, now cut":   {2, 1, 2, false},
-		"has reached none, and reaches none":      {3, 3, 3, false},
-		"has reached none, and reaches another":   {3, 3, 1, true},
+		"knows only this server":                 {1, 0, 1, true},
+		"reaches the other servers":              {3, 0, 1, true},
+		"reaches one of the others":              {3, 0, 2, true},
+		"reaches no server":                      {3, 0, 3, false},
+		"has only reached another one, now cut":  {2, 1, 2, false},
+		"has reached none, and reaches none":     {3, 3, 3, false},
+		"has reached none, and reaches another":  {3, 3, 1, true},
 		"has reached one of the others, now cut": {3, 2, 3, false},
 	}
 	for name, tt := range tests {
