--- a/internal/router/stalled_answer_test.go
+++ b/internal/router/stalled_answer_test.go
@@ -128,7 +128,12 @@
 		if first.Load() == 0 {
 			return indexer.NewView(int64(views), e.doc, rows[:1:1], 0)
 		}
-		return indexer.NewView(int64(views), e.doc, slices.Clone(rows), 0)
+		// The servers go on to report their load.
+		reported := slices.Clone(rows)
+		for i := range reported {
+			reported[i].LastSeen = e.clock.Now()
+		}
+		return indexer.NewView(int64(views), e.doc, reported, 0)
 	}
 	d := dispatcher.NewDispatcher(stall)
 	defer d.Close()
