Test of a limit that others report: the limited server names it too

Cause: the one request that the limit allows now and then, 0.9 in 10,000 for each of the 20, was answered without a limit by the server of the test, and such an answer ends a limit, as is meant. The first part of a request is drawn at random, hence the rare red.

Change: that server names its limit in its answers, as one that has a limit does.

--- a/internal/forwarder/rate_limit_test.go
+++ b/internal/forwarder/rate_limit_test.go
@@ -42,7 +42,8 @@
 
 // Guards against an instance that waits for its own answer from a server before it spares it.
 func TestLimitHeardFromOtherInstancesHolds(t *testing.T) {
-	near, far := &fakeServer{respond: replyDone}, &fakeServer{respond: replyDone}
+	// An answer of the near server without a limit would end it.
+	near, far := &fakeServer{respond: limitedReply("1")}, &fakeServer{respond: replyDone}
 	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"near": near, "far": far})
 	env.f.serversByName["far"].DataCentre = "b"
 	env.f.SetOthersRates([]rationer.Report{{Server: "near", Incarnation: 1, Limited: true, Limit: 1, DemandUnits: 1_000_000}})
