Load of a server: leave out abandoned requests, and the request that asks for a larger model

Two cases count too much since then: a larger model is weighed after its server has been chosen, so the request counted itself, one of twelve slots on further, which raises the price of asking it by up to 140/12 points; and the place of an abandoned answer stays taken for 300 ms, though its server drops it at once. Both keep more doubtful answers.

Ruled out: reports that count the same request twice (a report subtracts what was in flight when it came).

TestEscalationDoesNotCountItself and TestDroppedAnswerIsNoLoad fail before and pass after; TestRequestsThatChooseTogetherAreSpread still passes.

--- a/internal/allotter/places.go
+++ b/internal/allotter/places.go
@@ -63,12 +63,13 @@
 	return p.used < p.granted
 }
 
-// Used returns how many places this instance uses, from the choice of the server for a request on.
-func (p *Places) Used(now timer.Millis) int {
+// Running returns how many requests of this instance have a place, from the choice of the server on. Those that were abandoned keep
+// their place for a while, but most servers drop them at once.
+func (p *Places) Running(now timer.Millis) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.endLingering(now)
-	return p.used
+	return p.used - len(p.lingering)
 }
 
 // Return gives a place back.
--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -56,7 +56,8 @@
 		reason = "the delay at the larger model outweighs the low confidence"
 		estimate = escalationEstimate{
 			queueWait: best.prefillQueue.waitFor(t.urgency(best), now), prefill: t.prefillTime(best),
-			slotShare: float64(best.load(now)) / float64(max(1, best.Slots)),
+			// The load includes this request, which has its place there already.
+			slotShare: float64(best.load(now)-1) / float64(max(1, best.Slots)),
 		}
 		if t.isWorthEscalating(estimate, confidence, now) {
 			if t.sendEscalation(ctx, best) {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -102,7 +102,7 @@
 // load estimates the number of requests in flight and queued at the server. Those that have chosen it count before they are sent:
 // otherwise requests that choose at the same moment would all choose the same server.
 func (s *server) load(now timer.Millis) int {
-	own := max(int(s.inFlight.Load()), s.places.Used(now))
+	own := max(int(s.inFlight.Load()), s.places.Running(now))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	others := s.reportedLoad - s.ownAtReport
