Evacuations of data centres, and the regions of routes and workspaces

The servers that may get a request are worked out once for each view; each attempt takes its server from that set, and gateways and pooled connections are held to the regions too. Where no server may take a request it is refused at once.

--- a/internal/applier/command.go
+++ b/internal/applier/command.go
@@ -12,16 +12,17 @@
 
 // Command is one change of the replicated state; At is its time in milliseconds, and exactly one other field is set.
 type Command struct {
-	At              timer.Millis    `cbor:"1,keyasint"`
-	Change          *changer.Change `cbor:"2,keyasint,omitempty"`
-	AcquireClaim    *claimer.Claim  `cbor:"3,keyasint,omitempty"`
-	SettleClaim     *claimer.Claim  `cbor:"4,keyasint,omitempty"`
-	InstanceStarted *InstanceStart  `cbor:"5,keyasint,omitempty"`
-	InForce         *InForce        `cbor:"6,keyasint,omitempty"`
-	ExpireClaims    *ClaimExpiry    `cbor:"7,keyasint,omitempty"`
-	PublishPolicy   *Policy         `cbor:"8,keyasint,omitempty"`
-	StartRollOut    *RollOut        `cbor:"9,keyasint,omitempty"`
-	EndRollOut      *RollOutEnd     `cbor:"10,keyasint,omitempty"`
+	At              timer.Millis     `cbor:"1,keyasint"`
+	Change          *changer.Change  `cbor:"2,keyasint,omitempty"`
+	AcquireClaim    *claimer.Claim   `cbor:"3,keyasint,omitempty"`
+	SettleClaim     *claimer.Claim   `cbor:"4,keyasint,omitempty"`
+	InstanceStarted *InstanceStart   `cbor:"5,keyasint,omitempty"`
+	InForce         *InForce         `cbor:"6,keyasint,omitempty"`
+	ExpireClaims    *ClaimExpiry     `cbor:"7,keyasint,omitempty"`
+	PublishPolicy   *Policy          `cbor:"8,keyasint,omitempty"`
+	StartRollOut    *RollOut         `cbor:"9,keyasint,omitempty"`
+	EndRollOut      *RollOutEnd      `cbor:"10,keyasint,omitempty"`
+	Evacuate        *EvacuationOrder `cbor:"11,keyasint,omitempty"`
 }
 
 // InstanceStart records that an instance began a new incarnation; the running claims of its earlier ones become in
--- a/internal/applier/state.go
+++ b/internal/applier/state.go
@@ -26,6 +26,7 @@
 	trail        auditor.Trail
 	policy       Policy
 	rollOuts     map[string]RollOut
+	evacuations  map[string]Evacuation
 }
 
 // snapshotData is the encoded form of the state in a snapshot.
@@ -35,11 +36,13 @@
 	Trail        auditor.Trail      `cbor:"3,keyasint"`
 	Policy       Policy             `cbor:"4,keyasint,omitempty"`
 	RollOuts     []RollOut          `cbor:"5,keyasint,omitempty"`
+	Evacuations  []Evacuation       `cbor:"6,keyasint,omitempty"`
 }
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{environments: map[string]*changer.State{}, claims: claimer.NewTable(nil), rollOuts: map[string]RollOut{}}
+	return &State{environments: map[string]*changer.State{}, claims: claimer.NewTable(nil), rollOuts: map[string]RollOut{},
+		evacuations: map[string]Evacuation{}}
 }
 
 // Restore replaces the state by the state in a snapshot; an empty snapshot gives the empty state.
@@ -72,12 +75,15 @@
 	for _, r := range d.RollOuts {
 		s.rollOuts[r.Service] = r
 	}
+	for _, e := range d.Evacuations {
+		s.evacuations[e.DataCentre] = e
+	}
 	return nil
 }
 
 // Snapshot returns the whole state in CBOR.
 func (s *State) Snapshot() ([]byte, error) {
-	d := snapshotData{Claims: s.claims.Claims(), Trail: s.trail, Policy: s.policy, RollOuts: s.RollOuts()}
+	d := snapshotData{Claims: s.claims.Claims(), Trail: s.trail, Policy: s.policy, RollOuts: s.RollOuts(), Evacuations: s.Evacuations()}
 	for _, name := range s.Environments() {
 		d.Environments = append(d.Environments, s.environments[name].Snapshot())
 	}
@@ -121,6 +127,8 @@
 		return s.startRollOut(c.At, *c.StartRollOut)
 	case c.EndRollOut != nil:
 		return s.settleRollOut(c.At, *c.EndRollOut)
+	case c.Evacuate != nil:
+		return s.evacuate(c.At, *c.Evacuate)
 	case c.AcquireClaim != nil:
 		claim := s.claims.Acquire(*c.AcquireClaim)
 		return Result{Claim: &claim}, nil
--- a/internal/auditor/trail.go
+++ b/internal/auditor/trail.go
@@ -35,6 +35,8 @@
 	KindPublished = "published"
 	// KindRollOut records a step of a roll-out.
 	KindRollOut = "roll-out"
+	// KindEvacuation records that a data centre was evacuated or taken back.
+	KindEvacuation = "evacuation"
 )
 
 // MaxEntries is the number of entries that a Trail keeps; older entries remain only in copies that operators keep.
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -108,6 +108,12 @@
 	return ok
 }
 
+// isRelayedBy reports whether the connection leads to the server directly or through an instance that is allowed.
+func (c *Conn) isRelayedBy(relays Relays) bool {
+	d, ok := c.Conn.(Detour)
+	return !ok || relays.Allow(d.RelayDataCentre())
+}
+
 // ReportRest tells the other instance that the connection leads through, if there is one, that the server has asked to be left alone.
 func (c *Conn) ReportRest(rest timer.Millis) {
 	if d, ok := c.Conn.(Detour); ok {
--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -183,7 +183,7 @@
 		limits := testLimits()
 		limits.HeadTimeout, limits.BodyGrace = 15, 15
 		p := NewPool(Deps{Now: timer.NewSystemClock().Now, Limits: limits, Memory: NewMemory(64 << 10),
-			Dial: func(context.Context, Endpoint) (net.Conn, error) {
+			Dial: func(context.Context, Endpoint, Relays) (net.Conn, error) {
 				client, server := net.Pipe()
 				go s.run(server)
 				return client, nil
@@ -191,10 +191,10 @@
 		const maxRequests = 24
 		for n := 0; n < maxRequests && !s.isDone(); n++ {
 			id := fmt.Sprintf("r%d", n)
-			c := p.Get(nil)
+			c := p.Get(nil, nil)
 			if c == nil {
 				var err error
-				if c, err = p.Open(context.Background(), timer.Second); err != nil {
+				if c, err = p.Open(context.Background(), timer.Second, nil); err != nil {
 					t.Fatal(err)
 				}
 			}
--- a/internal/exchanger/joined_head_test.go
+++ b/internal/exchanger/joined_head_test.go
@@ -19,8 +19,8 @@
 	t.Helper()
 	client, server := connPair(t)
 	p := NewPool(Deps{Now: timer.NewSystemClock().Now, Limits: testLimits(), Memory: NewMemory(64 << 10),
-		Dial: func(context.Context, Endpoint) (net.Conn, error) { return client, nil }}, Endpoint{})
-	c, err := p.Open(context.Background(), timer.Second)
+		Dial: func(context.Context, Endpoint, Relays) (net.Conn, error) { return client, nil }}, Endpoint{})
+	c, err := p.Open(context.Background(), timer.Second, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -32,14 +32,24 @@
 	Address, DataCentre string
 }
 
+// Relays reports whether a connection may lead through an instance of a data centre; nil allows all.
+type Relays func(dataCentre string) bool
+
+// Allow reports whether a connection may lead through an instance of a data centre.
+func (r Relays) Allow(dataCentre string) bool {
+	return r == nil || r(dataCentre)
+}
+
 // Dial opens a connection to a backend server before the context ends. A connection that does not lead there directly
 // implements Detour.
-type Dial func(ctx context.Context, e Endpoint) (net.Conn, error)
+type Dial func(ctx context.Context, e Endpoint, relays Relays) (net.Conn, error)
 
 // Detour is a connection that leads through another instance.
 type Detour interface {
 	// IsExpired reports whether the connection should carry no further request.
 	IsExpired() bool
+	// RelayDataCentre returns the data centre of the other instance.
+	RelayDataCentre() string
 	// ReportRest tells the other instance that the server has asked to be left alone; it must not block.
 	ReportRest(rest timer.Millis)
 }
@@ -81,10 +91,10 @@
 }
 
 // Get returns an idle connection that is still open and has no unread data, or nil. It returns none of the excluded
-// connections.
-func (p *Pool) Get(excluded []*Conn) *Conn {
+// connections, and none that leads through an instance that is not allowed.
+func (p *Pool) Get(excluded []*Conn, relays Relays) *Conn {
 	for {
-		c := p.take(excluded)
+		c := p.take(excluded, relays)
 		if c == nil {
 			return nil
 		}
@@ -95,12 +105,12 @@
 	}
 }
 
-// take removes the connection that was used last and is not excluded from the pool; nil if there is none.
-func (p *Pool) take(excluded []*Conn) *Conn {
+// take removes the connection that was used last and is allowed from the pool; nil if there is none.
+func (p *Pool) take(excluded []*Conn, relays Relays) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; !slices.Contains(excluded, c) {
+		if c := p.idle[i]; !slices.Contains(excluded, c) && c.isRelayedBy(relays) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
@@ -108,11 +118,11 @@
 	return nil
 }
 
-// Open opens a new connection within the timeout, in milliseconds.
-func (p *Pool) Open(ctx context.Context, timeout timer.Millis) (*Conn, error) {
+// Open opens a new connection within the timeout, in milliseconds; it may lead through the given instances.
+func (p *Pool) Open(ctx context.Context, timeout timer.Millis, relays Relays) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	raw, err := p.deps.Dial(ctx, p.endpoint)
+	raw, err := p.deps.Dial(ctx, p.endpoint, relays)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchanger/response_test.go
+++ b/internal/exchanger/response_test.go
@@ -165,9 +165,9 @@
 			t.Parallel()
 			client, server := connPair(t)
 			deps := Deps{Now: timer.NewSystemClock().Now, Limits: testLimits(), Memory: NewMemory(1 << 20),
-				Dial: func(context.Context, Endpoint) (net.Conn, error) { return client, nil }}
+				Dial: func(context.Context, Endpoint, Relays) (net.Conn, error) { return client, nil }}
 			p := NewPool(deps, Endpoint{})
-			c, err := p.Open(context.Background(), timer.Second)
+			c, err := p.Open(context.Background(), timer.Second, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -188,7 +188,7 @@
 			if got != tt.want || body != tt.body {
 				t.Errorf("got %q with body %q, want %q with %q", got, body, tt.want, tt.body)
 			}
-			if reused := p.Get(nil) == c; reused != tt.reused {
+			if reused := p.Get(nil, nil) == c; reused != tt.reused {
 				t.Errorf("the connection is used again: %t, want %t", reused, tt.reused)
 			}
 		})
@@ -199,9 +199,9 @@
 func TestEndlessEventsEndWithTheConnection(t *testing.T) {
 	client, server := net.Pipe()
 	deps := Deps{Now: timer.NewSystemClock().Now, Limits: testLimits(), Memory: NewMemory(64 << 10),
-		Dial: func(context.Context, Endpoint) (net.Conn, error) { return client, nil }}
+		Dial: func(context.Context, Endpoint, Relays) (net.Conn, error) { return client, nil }}
 	p := NewPool(deps, Endpoint{})
-	c, err := p.Open(context.Background(), timer.Second)
+	c, err := p.Open(context.Background(), timer.Second, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarder/alarms_test.go
+++ b/internal/forwarder/alarms_test.go
@@ -96,7 +96,7 @@
 func TestCallerThatLeavesDuringTheDialRaisesNoAlarm(t *testing.T) {
 	env := newTestEnv(t, matcher.Route{Kind: matcher.KindIdempotent}, map[string]*fakeServer{"s": {respond: replyDone}})
 	ctx, leave := context.WithCancel(context.Background())
-	env.f.exchange.Dial = func(ctx context.Context, _ exchanger.Endpoint) (net.Conn, error) {
+	env.f.exchange.Dial = func(ctx context.Context, _ exchanger.Endpoint, _ exchanger.Relays) (net.Conn, error) {
 		leave()
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -121,7 +121,7 @@
 		env.publishView()
 	}
 	env.serve(Request{})
-	if env.f.serversByName["s"].pool.Get(nil) == nil {
+	if env.f.serversByName["s"].pool.Get(nil, nil) == nil {
 		t.Fatal("the connection was not kept")
 	}
 }
--- a/internal/forwarder/crashes.go
+++ b/internal/forwarder/crashes.go
@@ -38,7 +38,7 @@
 	if s.crashProbe.err != nil && now()-s.crashProbe.probedAt < probeValidity || s.crashProbe.probedAt > brokenAt {
 		return s.crashProbe.err
 	}
-	conn, err := s.pool.Open(ctx, probeTimeout)
+	conn, err := s.pool.Open(ctx, probeTimeout, nil)
 	if err == nil {
 		s.pool.Put(conn)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -147,10 +147,10 @@
 	now := t.f.deps.Telemetry.Clock.Now()
 	x := &exchange{server: s, sentAt: now, model: t.model}
 	// A copy of the response to an earlier attempt bears the same id, so no connection carries two attempts of a request.
-	c := s.pool.Get(t.usedConns)
+	c := s.pool.Get(t.usedConns, t.relays())
 	if c == nil {
 		var err error
-		if c, err = s.pool.Open(ctx, min(dialTimeout, t.deadline-now)); err != nil {
+		if c, err = s.pool.Open(ctx, min(dialTimeout, t.deadline-now), t.relays()); err != nil {
 			x.err = err
 			t.returnPlace(s)
 			if t.recordRestingGateway(s, err) {
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -18,6 +18,8 @@
 	addresses map[string]bool
 	// leaving are the addresses of servers that are leaving.
 	leaving map[string]bool
+	// evacuated are the data centres whose servers get no new requests.
+	evacuated map[string]bool
 	// rollOuts holds the newest roll-out of each service.
 	rollOuts map[string]subscriber.RollOut
 }
@@ -25,7 +27,8 @@
 // SetView replaces the current view; it is called by one goroutine at a time.
 func (f *Forwarder) SetView(v subscriber.View) {
 	old := f.fleetView.Load()
-	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, leaving: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{}}
+	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, leaving: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{},
+		evacuated: evacuatedDataCentres(v.Evacuations)}
 	for _, r := range v.RollOuts {
 		view.rollOuts[r.Service] = r
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -145,6 +145,7 @@
 		}
 		f.sessions.removeExpired(f.deps.Telemetry.Clock.Now())
 		f.evidence.Expire(f.deps.Telemetry.Clock.Now())
+		f.updateEvacuatedGauge()
 		for _, list := range f.fleetView.Load().servers {
 			for _, s := range list {
 				s.pool.Expire()
@@ -179,7 +180,11 @@
 	view      *fleetView
 	route     *matcher.Route
 	workspace *matcher.Workspace
-	service   string
+	// regions are those in which the request may be served.
+	regions regionSet
+	service string
+	// allowedServers is the result of allowed for the last view.
+	allowedServers allowedServers
 	// deadline is the earlier of the caller's and the route's time limit, in milliseconds.
 	deadline timer.Millis
 	tried    map[string]bool
@@ -287,6 +292,7 @@
 	if t.isBlocked() {
 		return t, t.crashRefusal()
 	}
+	t.regions = newRegionSet(t.route, t.workspace)
 	t.service = t.route.PickService(rand.Float64())
 	timeout := t.route.Timeout
 	if req.TimeLimit > 0 {
--- a/internal/forwarder/rest.go
+++ b/internal/forwarder/rest.go
@@ -84,7 +84,7 @@
 		return true
 	}
 	slots := 0
-	for _, s := range t.view.servers[t.service] {
+	for _, s := range t.candidates(t.f.deps.Telemetry.Clock.Now()) {
 		slots += s.Slots
 	}
 	t.awaitsRest, t.awaitsRestUntil = true, opensAt
--- a/internal/forwarder/versions.go
+++ b/internal/forwarder/versions.go
@@ -4,9 +4,9 @@
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
-// candidates returns the servers of the version that serves the request.
+// candidates returns the servers of the version that serves the request, among those that may get it.
 func (t *task) candidates(now timer.Millis) []*server {
-	v := t.view.splitVersions(t.service)
+	v := t.allowed().versionSplit
 	if v.rollOut == nil || len(v.target) == 0 {
 		return v.stable
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -76,7 +76,7 @@
 	if c.control, err = listenOn(c.settings.Listen.Control, c.settings); err != nil {
 		return err
 	}
-	c.control.server.Handler = platform.NewControlHandler(c.telemetry, c.steward)
+	c.control.server.Handler = platform.NewControlHandler(c.telemetry, c.steward, c.settings.Instance.RegionOf())
 	if c.links, err = listenOn(c.settings.Listen.Links, c.settings); err != nil {
 		return err
 	}
--- a/internal/matcher/policy.go
+++ b/internal/matcher/policy.go
@@ -46,6 +46,8 @@
 	Resumable bool
 	// Models are the model sizes that the router may choose from, smallest first; empty where the caller names the model.
 	Models []string
+	// Regions are those in which requests may be served; all if empty.
+	Regions []string
 	// Shares are the services that share the requests.
 	Shares []Share
 }
@@ -79,6 +81,10 @@
 	// KVCacheTokens is the size of a model engine's KV cache, in tokens.
 	KVCacheTokens int
 	Models        []Model
+	// ColdStart is how long a backend server is cold after its start, and ColdRate how many requests per second it bears from all
+	// instances together while it is cold; 0 if it bears any number.
+	ColdStart timer.Millis
+	ColdRate  float64
 }
 
 // Workspace is a customer with its API keys.
@@ -87,6 +93,8 @@
 	APIKeys []string
 	// Priority is added to the route's priority; nil adds nothing.
 	Priority *int
+	// Regions are those in which requests may be served; all if empty. Where the route names regions too, both bind.
+	Regions []string
 }
 
 // Limits bound the size of a caller's requests, in bytes.
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -106,6 +106,8 @@
 	Withdrawals []registrar.Withdrawal `cbor:"29,keyasint,omitempty"`
 	Policy      *applier.Policy        `cbor:"4,keyasint,omitempty"`
 	RollOuts    []RollOut              `cbor:"5,keyasint,omitempty"`
+	// Evacuations lists the data centres that were evacuated, or taken back.
+	Evacuations []Evacuation `cbor:"30,keyasint,omitempty"`
 	// ControlAddresses lists the addresses of control instances.
 	ControlAddresses []string   `cbor:"6,keyasint,omitempty"`
 	Outcomes         []Outcomes `cbor:"7,keyasint,omitempty"`
@@ -182,6 +184,12 @@
 	Elapsed timer.Millis `cbor:"20,keyasint"`
 }
 
+// Evacuation is the state of a data centre with the time since its last change in milliseconds.
+type Evacuation struct {
+	applier.Evacuation
+	Elapsed timer.Millis `cbor:"20,keyasint"`
+}
+
 // PendingPrefill is the outstanding prefill at one server that one or several entry instances have sent there.
 type PendingPrefill struct {
 	Server string `cbor:"1,keyasint"`
--- a/internal/pathfinder/dial.go
+++ b/internal/pathfinder/dial.go
@@ -77,11 +77,11 @@
 }
 
 // Dial opens a connection to a server before the context ends. It starts with the way that worked last, and tries the next one
-// beside it when that one fails or takes long.
-func (p *Pathfinder) Dial(ctx context.Context, e exchanger.Endpoint) (net.Conn, error) {
+// beside it when that one fails or takes long. The connection leads through no instance but the given ones.
+func (p *Pathfinder) Dial(ctx context.Context, e exchanger.Endpoint, relays exchanger.Relays) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := p.newRace(e)
+	r := p.newRace(e, relays)
 	defer func() { go r.runCleanup() }()
 	r.startNext(ctx)
 	for r.ended < len(r.ways) {
@@ -103,16 +103,19 @@
 	return nil, r.failure(nil)
 }
 
-func (p *Pathfinder) newRace(e exchanger.Endpoint) *race {
+func (p *Pathfinder) newRace(e exchanger.Endpoint, relays exchanger.Relays) *race {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.deps.Telemetry.Clock.Now()
 	var gateways []*gateway
 	last := p.fruitless[e.Address]
 	if p.cutOff || now >= last.until {
-		gateways, last = p.chooseGateways(e.DataCentre, now), fruitlessRace{}
+		gateways, last = p.chooseGateways(e.DataCentre, now, relays), fruitlessRace{}
 	}
 	r := &race{p: p, endpoint: e, isDetour: p.isDetour(e.Address) && len(gateways) > 0, lastVerdict: last.verdict}
+	if len(gateways) == 0 && relays != nil && len(p.gateways) > 0 {
+		r.lastVerdict = max(r.lastVerdict, verdictUnconfirmed)
+	}
 	if r.isDetour {
 		r.ways = append(gateways, nil)
 	} else {
@@ -267,6 +270,11 @@
 	return &detourConn{Conn: c, p: p, endpoint: e, gateway: via}
 }
 
+// RelayDataCentre returns the data centre of the gateway.
+func (c *detourConn) RelayDataCentre() string {
+	return c.gateway.DataCentre
+}
+
 // Close closes the connection.
 func (c *detourConn) Close() error {
 	c.closeOnce.Do(func() { c.p.countTunnel(c.gateway, -1) })
--- a/internal/pathfinder/gateways.go
+++ b/internal/pathfinder/gateways.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -43,7 +44,7 @@
 // chooseGateways returns up to two instances to reach a server in the given data centre through. The first one has the
 // shortest way, and of several the fewest tunnels; the second one is in another data centre if there is one, since a whole
 // data centre may be cut off at once.
-func (p *Pathfinder) chooseGateways(dataCentre string, now timer.Millis) []*gateway {
+func (p *Pathfinder) chooseGateways(dataCentre string, now timer.Millis, relays exchanger.Relays) []*gateway {
 	type candidate struct {
 		*gateway
 		suspended bool
@@ -52,6 +53,9 @@
 	}
 	var list []candidate
 	for _, r := range p.gateways {
+		if !relays.Allow(r.DataCentre) {
+			continue
+		}
 		list = append(list, candidate{r, now < r.suspendedUntil, p.deps.Distance(p.deps.DataCentre, r.DataCentre) + p.deps.Distance(r.DataCentre, dataCentre),
 			rand.Int()})
 	}
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -114,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isDetour(e.Address) {
-		if chosen := p.chooseGateways(e.DataCentre, p.deps.Telemetry.Clock.Now()); len(chosen) > 0 {
+		if chosen := p.chooseGateways(e.DataCentre, p.deps.Telemetry.Clock.Now(), nil); len(chosen) > 0 {
 			via := chosen[0].DataCentre
 			return p.deps.Distance(p.deps.DataCentre, via) + p.deps.Distance(via, e.DataCentre)
 		}
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -109,7 +109,7 @@
 func dial(p *Pathfinder, e exchanger.Endpoint) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := p.Dial(ctx, e)
+	conn, err := p.Dial(ctx, e, nil)
 	if err == nil {
 		_ = conn.Close()
 	}
@@ -203,7 +203,7 @@
 func TestSecondGatewayIsTriedBesideASilentOne(t *testing.T) {
 	p, n, list := newTestPathfinder(t, true, 3, 2)
 	n.set(n.cut, list, true)
-	silent := p.chooseGateways("a", 0)[0].Address
+	silent := p.chooseGateways("a", 0, nil)[0].Address
 	n.refuses = false
 	n.set(n.cut, []exchanger.Endpoint{{Address: silent}}, true)
 	for _, e := range list {
@@ -242,7 +242,7 @@
 					t.Fatal(err)
 				}
 			}
-			conn, err := p.Dial(context.Background(), list[0])
+			conn, err := p.Dial(context.Background(), list[0], nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -319,3 +319,33 @@
 		})
 	}
 }
+
+// Guards against bodies that pass through an instance of a region in which the request must not be served: while all servers are cut
+// off, each way leads through one.
+func TestConnectionsLeadThroughAllowedInstancesOnly(t *testing.T) {
+	tests := map[string]struct {
+		allowed string
+		want    error
+	}{"one of two": {"b", nil}, "none": {"c", ErrUnconfirmed}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, n, list := newTestPathfinder(t, true, 2, 2)
+			n.set(n.cut, list, true)
+			for range 4 {
+				ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+				conn, err := p.Dial(ctx, list[0], func(dataCentre string) bool { return dataCentre == tt.allowed })
+				cancel()
+				if !errors.Is(err, tt.want) {
+					t.Fatalf("got %v, want %v", err, tt.want)
+				}
+				if err == nil && conn.(exchanger.Detour).RelayDataCentre() != tt.allowed {
+					t.Fatalf("the connection leads through %q", conn.(exchanger.Detour).RelayDataCentre())
+				}
+				// Others may use any instance meanwhile.
+				if err := dial(p, list[1]); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/steward/changes.go
+++ b/internal/steward/changes.go
@@ -90,8 +90,11 @@
 
 // HandleStateChange is the callback of the record's goroutine after a change of the replicated state.
 func (s *Steward) HandleStateChange(state *applier.State) {
-	policy, rollOuts := state.Policy(), state.RollOuts()
-	s.enqueue(func() { s.adoptState(policy, rollOuts) })
+	policy, rollOuts, evacuations := state.Policy(), state.RollOuts(), state.Evacuations()
+	s.enqueue(func() {
+		s.adoptEvacuations(evacuations)
+		s.adoptState(policy, rollOuts)
+	})
 }
 
 func (s *Steward) adoptState(policy applier.Policy, rollOuts []applier.RollOut) {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -83,6 +83,7 @@
 	notServingSince map[string]timer.Millis
 	policy          applier.Policy
 	rollOuts        []applier.RollOut
+	evacuations     []applier.Evacuation
 	// rollOutStartedAt is the time at which this instance first saw each roll-out, or the leader's start time where that
 	// is earlier, by rollOutKey.
 	rollOutStartedAt map[string]timer.Millis
@@ -328,7 +329,7 @@
 		s.mu.Unlock()
 	}
 	s.deps.Telemetry.Log.Info("instance reached", "instance", peer.Instance, "data-centre", peer.DataCentre)
-	p := messenger.Packet{ControlAddresses: s.controlAddresses(), RollOuts: s.rollOutsWithAge(),
+	p := messenger.Packet{ControlAddresses: s.controlAddresses(), RollOuts: s.rollOutsWithAge(), Evacuations: s.evacuationsWithAge(),
 		OldVersionSessions: sortedKeys(s.oldVersionSessions), Withdrawals: s.roster.Withdrawals()}
 	p.CrashReports, p.Acquittals = s.evidence.Snapshot(s.deps.Telemetry.Clock.Now())
 	if peer.Address != "" || s.isRelayFor(peer.DataCentre) {
--- a/internal/subscriber/deps.go
+++ b/internal/subscriber/deps.go
@@ -18,6 +18,14 @@
 	Policy   *matcher.Policy
 	Members  []registrar.Member
 	RollOuts []RollOut
+	// Evacuations are the data centres that were evacuated, or taken back.
+	Evacuations []Evacuation
+}
+
+// Evacuation is the state of a data centre with the time of its last change on this instance's clock, in milliseconds.
+type Evacuation struct {
+	applier.Evacuation
+	LocalChangedAt timer.Millis
 }
 
 // RollOut is a roll-out with its start time on this instance's clock, in milliseconds.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -274,6 +274,7 @@
 	if len(p.RollOuts) > 0 {
 		s.mergeRollOuts(p.RollOuts)
 	}
+	s.mergeEvacuations(p.Evacuations)
 	if p.HasPendingPrefill {
 		s.deps.SetOthersPrefill(p.OthersPendingPrefill)
 	}
