Cold servers: starts that the control instance of their data centre gives out

Cause: cold_per_s, cold_start_s and cold_left_ms were not used.

Change: a cold server gets a request only with a start. allotter.Pacer gives them out at the server's rate, allotter.Starts uses them within 400 ms of their claim. Control instances pass on when a server turns cold, and send rows with the time that is left; the servers of a data centre that is taken back count as cold for the usual time. The soak orders evacuations.

Ruled out: shares of the rate as for servers that name a limit (each instance that sees a server for the first time sends one); a second keeper in another data centre (two of them while control instances are cut off from each other).

--- a/internal/allotter/claim.go
+++ b/internal/allotter/claim.go
@@ -37,6 +37,13 @@
 	Instance, DataCentre string
 }
 
+// NearKeeper returns the candidate that paces the starts at a cold server, and false if there is none: only one in the server's data
+// centre does. Instances that reach different parts of the fleet would otherwise have two keepers, whose starts add up.
+func NearKeeper(server, dataCentre string, candidates []Candidate) (keeper Candidate, found bool) {
+	k, ok := Keeper(server, dataCentre, candidates)
+	return k, ok && k.DataCentre == dataCentre
+}
+
 // Keeper returns the candidate that keeps the ledger of a server, and false if there is none: one in the server's data centre,
 // which most claims come from, if there is one.
 func Keeper(server, dataCentre string, candidates []Candidate) (keeper Candidate, found bool) {
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -54,6 +54,8 @@
 	// understood.
 	IsLeaving      bool
 	InvalidLeaving string
+	// ColdLeft is how much longer the server is cold, in milliseconds; 0 if it does not say that it is.
+	ColdLeft timer.Millis
 	// Confidence is the model's confidence in the response, from 0 to 100; -1 if it is not given.
 	Confidence int
 	// KeepAliveTimeout is the server's keep-alive timeout, in milliseconds; 0 if it is not given.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -160,7 +160,9 @@
 		}
 	}
 	// The connection may have taken a while to open, in which another answer has arrived.
-	if t.f.deps.AwaitCurrent(ctx) || s.isLeaving.Load() || t.f.deps.Telemetry.Clock.Now() < s.ration.RestsUntil() {
+	opened := t.f.deps.Telemetry.Clock.Now()
+	isLateStart := opened-now > coldSendTimeout && s.starts.IsCold(opened)
+	if t.f.deps.AwaitCurrent(ctx) || s.isLeaving.Load() || t.f.deps.Telemetry.Clock.Now() < s.ration.RestsUntil() || isLateStart {
 		s.pool.Put(c)
 		t.returnPlace(s)
 		return x, attemptOutdated
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -7,6 +7,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/internal/subscriber"
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // fleetView is an immutable view of the policy, the roll-outs and the servers.
@@ -18,8 +19,9 @@
 	addresses map[string]bool
 	// leaving are the addresses of servers that are leaving.
 	leaving map[string]bool
-	// evacuated are the data centres whose servers get no new requests.
-	evacuated map[string]bool
+	// evacuated are the data centres whose servers get no new requests; takenBackAt is when others were taken back.
+	evacuated   map[string]bool
+	takenBackAt map[string]timer.Millis
 	// rollOuts holds the newest roll-out of each service.
 	rollOuts map[string]subscriber.RollOut
 }
@@ -28,7 +30,7 @@
 func (f *Forwarder) SetView(v subscriber.View) {
 	old := f.fleetView.Load()
 	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, leaving: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{},
-		evacuated: evacuatedDataCentres(v.Evacuations)}
+		evacuated: evacuatedDataCentres(v.Evacuations), takenBackAt: takenBackAt(v.Evacuations)}
 	for _, r := range v.RollOuts {
 		view.rollOuts[r.Service] = r
 	}
@@ -37,6 +39,7 @@
 	for _, m := range v.Members {
 		s := f.serverFor(previous[m.Name], m)
 		f.serversByName[m.Name] = s
+		f.updateCold(s, m, view)
 		delete(previous, m.Name)
 		view.addresses[m.Address] = true
 		switch m.State {
@@ -76,6 +79,7 @@
 		s := newServer(m, f.serviceOf(m), f.exchange)
 		s.knownSince = f.deps.Telemetry.Clock.Now()
 		s.warmUntil = s.knownSince + m.WarmUp
+		s.announcedSequence = -1
 		return s
 	}
 	if old.State == m.State && old.Version == m.Version && old.Slots == m.Slots && old.Service == m.Service {
--- a/internal/forwarder/patience.go
+++ b/internal/forwarder/patience.go
@@ -129,7 +129,7 @@
 	if t.writer.status != 0 || since*100 < t.route.TargetLatency*stuckPercent {
 		return false
 	}
-	other := t.cheapestServer(t.candidates(now), now, false)
+	other, _ := t.cheapestServer(t.candidates(now), now, false)
 	if other == nil || other.Name == s.Name || other.ration.Pressure(now) >= 1 {
 		return false
 	}
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -116,10 +116,10 @@
 }
 
 // cheapestServer returns the server with the lowest cost among those with a free slot, nil if there is none. It
-// considers either the suspended servers or the others.
-func (t *task) cheapestServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
-	var best *server
-	lowest := 0.0
+// considers either the suspended servers or the others. The cold server is one that would be cheaper if it took the request, nil
+// if there is none.
+func (t *task) cheapestServer(list []*server, now timer.Millis, suspendedOnly bool) (best, cold *server) {
+	lowest, lowestCold := 0.0, 0.0
 	ranks := t.cacheRanks(list)
 	for i, s := range list {
 		suspended, slowness := s.availability(now)
@@ -128,7 +128,8 @@
 		}
 		slots := max(1, s.Slots)
 		load := s.load(now)
-		if load >= t.maxLoad(slots) || !s.mayGet(now, load) {
+		mayGet := s.mayGet(now, load)
+		if load >= t.maxLoad(slots) || !mayGet && !s.starts.IsCold(now) {
 			continue
 		}
 		rank := -1
@@ -136,11 +137,17 @@
 			rank = ranks[i]
 		}
 		cost := t.cost(s, load, slots, slowness, rank, now)
-		if best == nil || cost < lowest {
+		switch {
+		case mayGet && (best == nil || cost < lowest):
 			best, lowest = s, cost
+		case !mayGet && (cold == nil || cost < lowestCold):
+			cold, lowestCold = s, cost
 		}
 	}
-	return best
+	if best != nil && lowest <= lowestCold {
+		cold = nil
+	}
+	return best, cold
 }
 
 // cost estimates the time to the server's response, in milliseconds, and adds the penalties for traffic between data
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -15,13 +15,15 @@
 )
 
 // mayGet reports whether a server with the given load takes another request of this instance now. A server that rests or leaves gets
-// none; a brittle one gets those that have a place in its ledger, and if nobody keeps the ledger, those for which there is
+// none; a cold one gets those that have a start from its keeper; a brittle one gets those that have a place in its ledger, and if nobody keeps the ledger, those for which there is
 // probably room.
 func (s *server) mayGet(now timer.Millis, load int) bool {
 	o := s.occupancy(load, now)
 	switch {
 	case s.isLeaving.Load() || s.ration.IsResting(now, o):
 		return false
+	case !s.starts.CanStart(now):
+		return false
 	case !s.ration.IsBrittle(now):
 		return true
 	case s.places.IsKeeperSilent(now):
@@ -33,10 +35,17 @@
 // takePlace takes a place at the server for a request, and reports whether there was one.
 func (s *server) takePlace(now timer.Millis) bool {
 	if s.ration.IsBrittle(now) && !s.places.IsKeeperSilent(now) {
-		return s.places.Take(now)
+		if !s.places.Take(now) {
+			return false
+		}
+	} else {
+		s.places.TakeFreely()
 	}
-	s.places.TakeFreely()
-	return true
+	if s.starts.Take(now) {
+		return true
+	}
+	s.places.Return(now)
+	return false
 }
 
 // returnPlace gives the place of a request back that has ended, or was not sent.
@@ -53,7 +62,7 @@
 	}
 }
 
-// claimPlace lets the request wait for a place at the cheapest brittle server at which it does not wait yet.
+// claimPlace lets the request wait for a place at the cheapest brittle or cold server at which it does not wait yet.
 func (t *task) claimPlace(now timer.Millis) {
 	if len(t.claimed) >= maxClaimedServers {
 		return
@@ -65,7 +74,8 @@
 	for i, s := range list {
 		suspended, slowness := s.availability(now)
 		load := s.load(now)
-		if suspended || t.tried[s.Name] || t.claimed[s] || !s.ration.IsBrittle(now) || s.ration.IsResting(now, s.occupancy(load, now)) {
+		hasKeeper := s.ration.IsBrittle(now) || s.starts.IsCold(now)
+		if suspended || t.tried[s.Name] || t.claimed[s] || !hasKeeper || s.ration.IsResting(now, s.occupancy(load, now)) {
 			continue
 		}
 		rank := -1
@@ -84,6 +94,7 @@
 	}
 	t.claimed[best] = true
 	best.places.AddWaiting(1)
+	best.starts.AddWaiting(1)
 	t.f.deps.OnPlacesChanged()
 }
 
@@ -92,6 +103,7 @@
 	t.stopAwaitingRest()
 	for s := range t.claimed {
 		s.places.AddWaiting(-1)
+		s.starts.AddWaiting(-1)
 	}
 	if len(t.claimed) > 0 {
 		clear(t.claimed)
@@ -139,9 +151,13 @@
 			isWanted = s.places.Apply(g, now) || isWanted
 		}
 	}
-	if !isWanted {
-		return
+	if isWanted {
+		f.wakeWaiting()
 	}
+}
+
+// wakeWaiting wakes the requests that wait for a place.
+func (f *Forwarder) wakeWaiting() {
 	f.placeMu.Lock()
 	defer f.placeMu.Unlock()
 	close(f.placeGranted)
--- a/internal/forwarder/rates.go
+++ b/internal/forwarder/rates.go
@@ -19,6 +19,7 @@
 	t.recordBrittleness(s, info, now)
 	t.recordRateLimit(s, info, now)
 	t.recordLeaving(x)
+	t.recordColdAnswer(s, info, now)
 	if info.InvalidRest != "" {
 		t.f.deps.Telemetry.Log.Warn("backend server asks to be left alone for a time that is not understood", "server", s.Name,
 			"time", strconv.Quote(info.InvalidRest), "request", t.ID)
@@ -72,8 +73,13 @@
 func (t *task) admittedServer(list []*server, now timer.Millis, suspendedOnly bool) *server {
 	t.f.choiceMu.Lock()
 	defer t.f.choiceMu.Unlock()
-	for {
-		s := t.cheapestServer(list, now, suspendedOnly)
+	for first := true; ; first = false {
+		s, cold := t.cheapestServer(list, now, suspendedOnly)
+		if first && cold != nil {
+			// The next request may find a start there.
+			cold.starts.RecordPassed()
+			t.f.deps.OnPlacesChanged()
+		}
 		if s == nil {
 			return nil
 		}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -49,6 +49,11 @@
 	prefillQueue prefillQueue
 	ration       *rationer.Ration
 	places       allotter.Places
+	// starts are the requests that the server may get while it is cold. announcedSequence is the sequence of the row that said so last,
+	// and announcedCold until when; only SetView uses the two.
+	starts            allotter.Starts
+	announcedSequence int64
+	announcedCold     timer.Millis
 	// lastByte is the time of the last read from the server, in milliseconds.
 	lastByte atomic.Int64
 	// busySince is when this instance last had its first request in flight there, in milliseconds.
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -117,6 +117,7 @@
 		SuspendServers: e.forwarder.SuspendServers, AddCrashReports: e.forwarder.AddCrashReports, AddAcquittals: e.forwarder.AddAcquittals,
 		RateReports: e.forwarder.RateReports, SetOthersRates: e.forwarder.SetOthersRates,
 		PlaceClaims: e.forwarder.PlaceClaims, SetPlaces: e.forwarder.SetPlaces,
+		StartClaims: e.forwarder.StartClaims, SetStarts: e.forwarder.SetStarts,
 		SetGateways: e.paths.SetGateways,
 	})
 	handler := platform.RequestHandler{
--- a/internal/launcher/soak_fleet_test.go
+++ b/internal/launcher/soak_fleet_test.go
@@ -185,19 +185,20 @@
 type soakBackend struct {
 	f      *soakFleet
 	name   string
+	zone   string
 	server *httptest.Server
 	mu     sync.Mutex
-	// leftAt is when its withdrawal was acknowledged; late are the requests that were sent after the bound that follows.
-	leftAt time.Time
-	late   []string
-	stop   chan struct{}
+	// quietFrom is the time from which no request may be sent to it, zero if there is none; late are the requests that were.
+	quietFrom time.Time
+	late      []string
+	stop      chan struct{}
 }
 
 // soakDrainBound is the users' bound on the time in which a withdrawal is in force.
 const soakDrainBound = 2500 * time.Millisecond
 
-func (f *soakFleet) startBackend(name string, from int) *soakBackend {
-	b := &soakBackend{f: f, name: name, stop: make(chan struct{})}
+func (f *soakFleet) startBackend(name, zone string, from int) *soakBackend {
+	b := &soakBackend{f: f, name: name, zone: zone, stop: make(chan struct{})}
 	b.server = httptest.NewServer(b)
 	go b.runHeartbeats(from)
 	return b
@@ -208,7 +209,7 @@
 	id := r.Header.Get("X-Request-Id")
 	sent, _ := strconv.ParseInt(strings.Split(id, "-")[0], 10, 64)
 	b.mu.Lock()
-	if !b.leftAt.IsZero() && time.UnixMilli(sent).Sub(b.leftAt) > soakDrainBound {
+	if !b.quietFrom.IsZero() && time.UnixMilli(sent).After(b.quietFrom) {
 		b.late = append(b.late, id)
 	}
 	b.mu.Unlock()
@@ -219,8 +220,8 @@
 func (b *soakBackend) runHeartbeats(at int) {
 	born := time.Now().UnixMilli()
 	for seq := 1; ; seq++ {
-		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z0","version":"v1","slots":400,"state":"ready","seq":%d,"born":%d}`,
-			b.server.Listener.Addr(), seq, born)
+		body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":400,"state":"ready","seq":%d,"born":%d}`,
+			b.server.Listener.Addr(), b.zone, seq, born)
 		if status, _ := soakCall(http.MethodPut, "http://"+b.f.controlAddr(at)+"/instances/"+b.name, body); status != http.StatusOK {
 			at++
 		}
@@ -238,14 +239,28 @@
 	for ; ; at++ {
 		if status, _ := soakCall(http.MethodDelete, "http://"+b.f.controlAddr(at)+"/instances/"+b.name, ""); status == http.StatusOK {
 			b.f.note("%s has withdrawn at %s", b.name, b.f.controlAddr(at))
-			b.mu.Lock()
-			b.leftAt = time.Now()
-			b.mu.Unlock()
+			b.setQuiet(time.Now().Add(soakDrainBound))
 			return
 		}
 	}
 }
 
+// setQuiet sets the time from which no request may be sent to the server; the zero time allows all.
+func (b *soakBackend) setQuiet(from time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.quietFrom = from
+}
+
+// checkQuiet fails the run if requests were sent that should not have been.
+func (b *soakBackend) checkQuiet(reason string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.late) > 0 {
+		b.f.fail("%s got %d requests %s, the first %s", b.name, len(b.late), reason, b.late[0])
+	}
+}
+
 // soakCall does one call with the users' patience of a second.
 func soakCall(method, url, body string) (int, string) {
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
--- a/internal/launcher/soak_test.go
+++ b/internal/launcher/soak_test.go
@@ -22,6 +22,8 @@
 	catchUpBound = 4 * time.Second
 	applyBound   = 2500 * time.Millisecond
 	soakAckBound = 4 * time.Second
+	// evacuateBound is the time in which the evacuation of a data centre is in force.
+	evacuateBound = 5 * time.Second
 )
 
 // soakPolicy returns a policy with a route for each version.
@@ -53,6 +55,30 @@
 	return false
 }
 
+// order sends an order on a data centre to one control instance after the other until it is acknowledged or the limit has passed.
+func (f *soakFleet) order(method, zone string, limit time.Duration) bool {
+	at := f.rnd.IntN(len(f.control))
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); at++ {
+		addr := f.controlAddr(at)
+		if status, _ := soakCall(method, "http://"+addr+"/evacuation/"+zone, ""); status == http.StatusOK {
+			f.note("%s of the evacuation of %s is acknowledged at %s", method, zone, addr)
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// checkEvacuation checks that every control instance names the evacuated data centre.
+func (f *soakFleet) checkEvacuation(zone string) {
+	for n := range f.control {
+		status, text := callUntilAnswered("http://"+f.controlAddr(n)+"/evacuation", func(status int) bool { return status == http.StatusOK })
+		if status != http.StatusOK || !strings.Contains(text, zone) {
+			f.fail("%s gives %d %s, the evacuation of %s was acknowledged", f.control[n].name, status, text, zone)
+		}
+	}
+}
+
 // trouble lets several kinds of trouble overlap, and returns when all processes run again. At most one control instance is lost at a
 // time, and none before its predecessor has caught up.
 func (f *soakFleet) trouble() {
@@ -170,10 +196,13 @@
 		return
 	}
 	// One server stays; of the others one withdraws in each round, at another control instance than it announces itself to.
-	stays := f.startBackend("stays", 0)
+	stays := f.startBackend("stays", "z0", 0)
 	defer stays.server.Close()
 	defer close(stays.stop)
-	leaving := f.startBackend("leaves-0", 1)
+	leaving := f.startBackend("leaves-0", "z0", 1)
+	evacuated := f.startBackend("evacuated", "z1", 2)
+	defer evacuated.server.Close()
+	defer close(evacuated.stop)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -181,17 +210,25 @@
 	time.Sleep(2 * time.Second)
 	f.runClients(stop, &wg)
 	for round := range rounds {
+		// The evacuation is ordered before the trouble and must be in force after it.
+		if !f.order(http.MethodPost, "z1", soakAckBound) {
+			f.fail("the evacuation is not acknowledged within %v in calm", soakAckBound)
+		}
+		inForce := time.Now().Add(evacuateBound)
 		f.trouble()
-		time.Sleep(max(contactBound, catchUpBound))
-		b, next := leaving, f.startBackend(fmt.Sprint("leaves-", round+1), f.rnd.IntN(3))
+		time.Sleep(max(contactBound, catchUpBound, time.Until(inForce)))
+		evacuated.setQuiet(time.Now())
+		b, next := leaving, f.startBackend(fmt.Sprint("leaves-", round+1), "z0", f.rnd.IntN(3))
 		b.withdraw(f.rnd.IntN(3))
 		f.checkPolicy()
 		time.Sleep(time.Second)
-		b.mu.Lock()
-		if len(b.late) > 0 {
-			f.fail("%s got %d requests later than %v after its withdrawal was acknowledged, the first %s", b.name, len(b.late), soakDrainBound, b.late[0])
+		b.checkQuiet(fmt.Sprintf("later than %v after its withdrawal was acknowledged", soakDrainBound))
+		f.checkEvacuation("z1")
+		evacuated.checkQuiet(fmt.Sprintf("later than %v after the evacuation of its data centre was acknowledged", evacuateBound))
+		evacuated.setQuiet(time.Time{})
+		if !f.order(http.MethodDelete, "z1", soakAckBound) {
+			f.fail("the end of the evacuation is not acknowledged within %v in calm", soakAckBound)
 		}
-		b.mu.Unlock()
 		b.server.Close()
 		leaving = next
 		if f.t.Failed() {
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -146,6 +146,10 @@
 	// control instance that keeps their ledgers.
 	PlaceClaims []allotter.Claim `cbor:"27,keyasint,omitempty"`
 	PlaceGrants []allotter.Grant `cbor:"28,keyasint,omitempty"`
+	// StartClaims are the requests that an entry instance wants to start at cold servers; StartGrants are the answers of the control
+	// instance that paces them.
+	StartClaims []allotter.StartClaim `cbor:"31,keyasint,omitempty"`
+	StartGrants []allotter.StartGrant `cbor:"32,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -38,7 +38,8 @@
 	}
 	s.announcedHere[m.Name] = lastAnnouncement{at: s.deps.Telemetry.Clock.Now(),
 		incarnation: m.Incarnation, sequence: m.Sequence}
-	if row, _ := s.roster.Member(m.Name); changed || !announcedHere {
+	coldChanged := s.recordCold(m)
+	if row, _ := s.roster.Member(m.Name); changed || coldChanged || !announcedHere {
 		s.broadcastServer(row)
 	}
 }
@@ -121,7 +122,8 @@
 			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "error", err)
 			continue
 		}
-		if _, differs := s.roster.Merge(m); differs {
+		accepted, differs := s.roster.Merge(m)
+		if coldChanged := accepted && s.recordCold(m); differs || coldChanged {
 			row, _ := s.roster.Member(m.Name)
 			changed = append(changed, row)
 		}
@@ -177,6 +179,7 @@
 		} else if now-since > s.deps.Config.ForgetAfter {
 			delete(s.notServingSince, row.Name)
 			s.roster.Remove(row.Name)
+			delete(s.coldUntil, row.Name)
 			s.rosterDirty = true
 		}
 	}
--- a/internal/steward/places.go
+++ b/internal/steward/places.go
@@ -21,6 +21,28 @@
 	if len(p.PlaceClaims) > 0 {
 		s.addPlaceClaims(conn, p.PlaceClaims)
 	}
+	if len(p.StartClaims) > 0 {
+		s.addStartClaims(conn, p.StartClaims)
+	}
+}
+
+// addStartClaims applies the claims of an entry instance for starts at cold servers, and answers. Claims for a server whose starts
+// another control instance paces get no answer.
+func (s *Steward) addStartClaims(conn *messenger.Link, claims []allotter.StartClaim) {
+	sender, ok := s.connections[conn]
+	if !ok {
+		return
+	}
+	key := incarnationKey(sender)
+	s.placeLinks[key] = conn
+	candidates := s.ledgerCandidates()
+	now := s.deps.Telemetry.Clock.Now()
+	for _, c := range claims {
+		if keeper, found := allotter.NearKeeper(c.Server, c.DataCentre, candidates); found && keeper == candidates[0] {
+			s.starts.Claim(key, c, now)
+		}
+	}
+	s.sendPlaceGrants()
 }
 
 // addPlaceClaims applies the claims of an entry instance for places of brittle servers, and answers. Claims for a server whose
@@ -53,14 +75,19 @@
 	return list
 }
 
-// sendPlaceGrants gives free places to the entry instances that want them.
+// sendPlaceGrants gives free places and starts to the entry instances that want them.
 func (s *Steward) sendPlaceGrants() {
+	for key, grants := range s.starts.Settle(s.deps.Telemetry.Clock.Now()) {
+		if conn := s.placeLinks[key]; conn != nil {
+			conn.Send(messenger.Packet{StartGrants: grants})
+		}
+	}
 	for key, grants := range s.places.Settle(s.deps.Telemetry.Clock.Now()) {
 		if conn := s.placeLinks[key]; conn != nil {
 			conn.Send(messenger.Packet{PlaceGrants: grants})
 		}
 	}
-	if s.placeTimer == nil && s.places.HasWork() {
+	if s.placeTimer == nil && (s.places.HasWork() || s.starts.HasWork()) {
 		s.placeTimer = s.deps.Telemetry.Clock.After(placeInterval)
 	}
 }
@@ -73,5 +100,6 @@
 	}
 	delete(s.placeLinks, key)
 	s.places.Lose(key, s.deps.Telemetry.Clock.Now())
+	s.starts.Lose(key)
 	s.sendPlaceGrants()
 }
--- a/internal/steward/sending.go
+++ b/internal/steward/sending.go
@@ -49,7 +49,7 @@
 	}
 	for conn, g := range s.connections {
 		if g.Address == "" && g.DataCentre == dataCentre {
-			conn.Send(messenger.Packet{Members: s.roster.Members()})
+			conn.Send(messenger.Packet{Members: s.rows()})
 		}
 	}
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -105,6 +105,10 @@
 	places     *allotter.Ledger[string]
 	placeLinks map[string]*messenger.Link
 	placeTimer <-chan timer.Tick
+	// starts paces the requests that cold servers get.
+	starts *allotter.Pacer[string]
+	// coldUntil is until when each server is cold, by name.
+	coldUntil map[string]timer.Millis
 	// pendingPrefillByEntry is the latest report of pending prefill from each entry instance.
 	pendingPrefillByEntry map[*messenger.Link][]messenger.PendingPrefill
 	// nonEmptyPrefillSent is true for an entry instance if the last message to it about others' pending prefill was not
@@ -137,6 +141,7 @@
 		memberSeenAt: map[replicator.ID]timer.Millis{}, learnerSince: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		evidence: quarantiner.NewEvidence(), rates: rationer.NewBoard[*messenger.Link](), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		places: allotter.NewLedger[string](), placeLinks: map[string]*messenger.Link{},
+		starts: allotter.NewPacer[string](), coldUntil: map[string]timer.Millis{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
 		rosterSaves: make(chan SavedRoster),
 	}
@@ -299,7 +304,7 @@
 		conn.Send(messenger.Packet{Policy: &policy})
 	}
 	if p.RequestsRoster {
-		conn.Send(messenger.Packet{Members: s.roster.Members()})
+		conn.Send(messenger.Packet{Members: s.rows()})
 	}
 	if p.RequestsGateways {
 		conn.Send(messenger.Packet{Gateways: s.chooseGateways(sender)})
@@ -333,7 +338,7 @@
 		OldVersionSessions: sortedKeys(s.oldVersionSessions), Withdrawals: s.roster.Withdrawals()}
 	p.CrashReports, p.Acquittals = s.evidence.Snapshot(s.deps.Telemetry.Clock.Now())
 	if peer.Address != "" || s.isRelayFor(peer.DataCentre) {
-		p.Members = s.roster.Members()
+		p.Members = s.rows()
 	}
 	if peer.Address == "" {
 		p.OfferedPolicyVersion = s.policy.Version
--- a/internal/subscriber/deps.go
+++ b/internal/subscriber/deps.go
@@ -66,6 +66,9 @@
 	// answers.
 	PlaceClaims func(all bool) []allotter.Claim
 	SetPlaces   func([]allotter.Grant)
+	// StartClaims returns the claims for starts at cold servers that are due; SetStarts applies the answers.
+	StartClaims func() []allotter.StartClaim
+	SetStarts   func([]allotter.StartGrant)
 	// SetGateways receives instances that connections to backend servers may lead through.
 	SetGateways func([]messenger.Gateway)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
--- a/internal/subscriber/places.go
+++ b/internal/subscriber/places.go
@@ -13,10 +13,11 @@
 	}
 }
 
-// sendPlaceClaims sends the changed claims, or all of them, to the control instances that keep the ledgers of the servers.
+// sendPlaceClaims sends the changed claims for places, or all of them, and the claims for starts that are due, to the control instances
+// that keep the ledgers of the servers.
 func (s *Subscriber) sendPlaceClaims(all bool) {
-	claims := s.deps.PlaceClaims(all)
-	if len(claims) == 0 {
+	places, starts := s.deps.PlaceClaims(all), s.deps.StartClaims()
+	if len(places)+len(starts) == 0 {
 		return
 	}
 	linkOf := map[allotter.Candidate]*messenger.Link{}
@@ -26,13 +27,22 @@
 		linkOf[c] = l
 		candidates = append(candidates, c)
 	}
-	byLink := map[*messenger.Link][]allotter.Claim{}
-	for _, c := range claims {
+	packets := map[*messenger.Link]messenger.Packet{}
+	for _, c := range places {
 		if keeper, ok := allotter.Keeper(c.Server, c.DataCentre, candidates); ok {
-			byLink[linkOf[keeper]] = append(byLink[linkOf[keeper]], c)
+			p := packets[linkOf[keeper]]
+			p.PlaceClaims = append(p.PlaceClaims, c)
+			packets[linkOf[keeper]] = p
 		}
 	}
-	for l, list := range byLink {
-		l.Send(messenger.Packet{PlaceClaims: list})
+	for _, c := range starts {
+		if keeper, ok := allotter.NearKeeper(c.Server, c.DataCentre, candidates); ok {
+			p := packets[linkOf[keeper]]
+			p.StartClaims = append(p.StartClaims, c)
+			packets[linkOf[keeper]] = p
+		}
+	}
+	for l, p := range packets {
+		l.Send(p)
 	}
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -255,7 +255,7 @@
 			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "from", l.PeerGreeting().Instance, "error", err)
 			continue
 		}
-		if _, changed := s.roster.Merge(m); changed {
+		if accepted, changed := s.roster.Merge(m); changed || accepted && m.State == registrar.MemberStateServing {
 			s.viewChanged = true
 			s.deps.Telemetry.Log.Debug("backend server updated", "server", m.Name, "standing", m.State, "from", l.PeerGreeting().Instance)
 		}
@@ -316,6 +316,9 @@
 	if len(p.PlaceGrants) > 0 {
 		s.deps.SetPlaces(p.PlaceGrants)
 	}
+	if len(p.StartGrants) > 0 {
+		s.deps.SetStarts(p.StartGrants)
+	}
 	if len(p.Acquittals) > 0 {
 		s.deps.AddAcquittals(p.Acquittals)
 	}
