Speed of servers' machines: read the fourth figure of load reports, and place work by it

Cause: reports with four figures were thrown away, so the load of every such server was unknown, and work was spread evenly over machines that take 60, 100 and 160 % of the usual time.

Change: reports of three or more figures are read. internal/gauger takes the median of the last nine readings of all instances, at one control instance of the server's data centre, and tells all entry instances of changes. Prefill and load are weighed by it.

Ruled out: the last reading alone (2.5 times too high one time in seven); the pace of streams (known late).

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -38,6 +38,8 @@
 	NotRun bool
 	// Running, Waiting and Slots are the server's load; Slots is 0 if it is not given.
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the server's machine at this moment, in percent of the usual time; 0 if it is not given.
+	WorkPercent int
 	// HasRateLimit is true if the server limits the requests that it takes from all instances together; RateLimit is their
 	// number per second.
 	HasRateLimit bool
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -199,7 +199,7 @@
 		return attemptNotRun
 	}
 	if t.PromptTokens > 0 && res.StatusCode < http.StatusMultipleChoices {
-		t.f.prefillEstimator.observe(t.model, t.PromptTokens, now-x.sentAt)
+		t.f.prefillEstimator.observe(t.model, t.PromptTokens, float64(now-x.sentAt)/s.meter.Factor())
 	}
 	return attemptResponded
 }
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -40,6 +40,7 @@
 		s := f.serverFor(previous[m.Name], m)
 		f.serversByName[m.Name] = s
 		f.updateCold(s, m, view)
+		f.applyGauge(s)
 		delete(previous, m.Name)
 		view.addresses[m.Address] = true
 		switch m.State {
@@ -56,6 +57,7 @@
 	for _, s := range previous {
 		s.pool.SetClosed(true)
 	}
+	f.dropGauges()
 	for _, list := range view.servers {
 		slices.SortFunc(list, func(a, b *server) int { return int(a.Incarnation - b.Incarnation) })
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
@@ -79,6 +80,8 @@
 	serversByName map[string]*server
 	services      map[string]*rationer.Service
 	othersRates   othersRates
+	// gauges are the estimates of the servers' machines, by server.
+	gauges map[string]gauger.Gauge
 	// budgets holds the *budgets of each service.
 	budgets         sync.Map
 	sessions        *sessions
@@ -110,7 +113,7 @@
 // NewForwarder returns a forwarder without a policy.
 func NewForwarder(deps Deps) *Forwarder {
 	f := &Forwarder{
-		deps: deps, serversByName: map[string]*server{}, services: map[string]*rationer.Service{},
+		deps: deps, serversByName: map[string]*server{}, services: map[string]*rationer.Service{}, gauges: map[string]gauger.Gauge{},
 		sessions: newSessions(deps.Config.SessionTTL), versionOutcomes: newVersionOutcomes(), evidence: quarantiner.NewEvidence(),
 		prefillEstimator: newPrefillEstimator(), policyReady: make(chan struct{}), placeGranted: make(chan struct{}), prefixTracker: newPrefixTracker(),
 		oldVersionSessions: newOldVersionSessions(),
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -154,7 +154,7 @@
 // centres and for a cold cache.
 func (t *task) cost(s *server, load, slots int, slowness float64, cacheRank int, now timer.Millis) float64 {
 	prefillMs := s.prefillQueue.waitFor(t.urgency(s), now) + t.prefillTime(s)
-	cost := prefillMs + float64(load)/float64(slots)*fullLoadCost
+	cost := prefillMs + float64(load)/float64(slots)*fullLoadCost*s.meter.Factor()
 	if slowness > slowServerFactor {
 		cost = cost*slowness + slowServerCost
 	}
@@ -201,7 +201,7 @@
 	if key := t.prefixKey(); key != 0 && t.f.prefixTracker.isCached(key, s.Name, t.f.deps.Telemetry.Clock.Now()) {
 		tokens -= t.sharedTokens()
 	}
-	return float64(max(0, tokens)) * t.f.prefillEstimator.perToken(t.model)
+	return float64(max(0, tokens)) * t.f.prefillEstimator.perToken(t.model) * s.meter.Factor()
 }
 
 const (
--- a/internal/forwarder/prefill.go
+++ b/internal/forwarder/prefill.go
@@ -91,15 +91,15 @@
 	return e.msPerToken[model]
 }
 
-// observe updates the estimate with the time to a first event. The shortest times count most, as those of a server
-// without other work.
-func (e *prefillEstimator) observe(model string, tokens int, took timer.Millis) {
+// observe updates the estimate with the time to a first event, as it would be on a usual machine. The shortest times count most, as
+// those of a server without other work.
+func (e *prefillEstimator) observe(model string, tokens int, took float64) {
 	if tokens < minEstimateTokens {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	observed := float64(took) / float64(tokens)
+	observed := took / float64(tokens)
 	previous, ok := e.msPerToken[model]
 	if !ok {
 		e.msPerToken[model] = observed
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -51,6 +52,8 @@
 	places       allotter.Places
 	// starts are the requests that the server may get while it is cold. announcedSequence is the sequence of the row that said so last,
 	// and announcedCold until when; only SetView uses the two.
+	// meter tells how fast the server's machine works.
+	meter             gauger.Meter
 	starts            allotter.Starts
 	announcedSequence int64
 	announcedCold     timer.Millis
@@ -155,6 +158,7 @@
 	if info.Slots == 0 {
 		return
 	}
+	s.meter.Add(info.WorkPercent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reportedLoad, s.reportedSlots = info.Running+info.Waiting, info.Slots
--- /dev/null
+++ b/internal/gauger/board.go
@@ -0,0 +1,85 @@
+package gauger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+const (
+	// minPublished is the number of readings from which an estimate is told to the instances.
+	minPublished = 3
+	// minChange is the change of an estimate that the instances are told of, as a divisor of the estimate.
+	minChange = 8
+	// maxReported bounds the readings of one report.
+	maxReported = 64
+)
+
+// Report holds the readings that one instance has taken from the answers of a server since its last report.
+type Report struct {
+	Server      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Percents    []int  `cbor:"3,keyasint"`
+}
+
+// Gauge is the estimate of how long work takes on a server's machine, in percent of the usual time.
+type Gauge struct {
+	Server      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Percent     int    `cbor:"3,keyasint"`
+}
+
+// Board collects the readings of all instances at the control instance that keeps them; it is used by one goroutine.
+type Board struct {
+	servers map[string]*entry
+}
+
+type entry struct {
+	incarnation int64
+	readings    Readings
+	published   int
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return &Board{servers: map[string]*entry{}}
+}
+
+// Add adds the readings of a report, and returns the estimate and true if the instances must know it.
+func (b *Board) Add(r Report) (Gauge, bool) {
+	e := b.servers[r.Server]
+	if e == nil || r.Incarnation > e.incarnation {
+		e = &entry{incarnation: r.Incarnation}
+		b.servers[r.Server] = e
+	}
+	if r.Incarnation < e.incarnation {
+		return Gauge{}, false
+	}
+	for _, percent := range r.Percents[:min(len(r.Percents), maxReported)] {
+		e.readings.Add(percent)
+	}
+	percent, count := e.readings.Median()
+	isKnown := e.published > 0
+	if count < minPublished || isKnown && max(percent-e.published, e.published-percent)*minChange < e.published {
+		return Gauge{}, false
+	}
+	e.published = percent
+	return Gauge{Server: r.Server, Incarnation: r.Incarnation, Percent: percent}, true
+}
+
+// Gauges returns the estimates that were told, sorted by server.
+func (b *Board) Gauges() []Gauge {
+	var list []Gauge
+	for name, e := range b.servers {
+		if e.published > 0 {
+			list = append(list, Gauge{Server: name, Incarnation: e.incarnation, Percent: e.published})
+		}
+	}
+	slices.SortFunc(list, func(a, b Gauge) int { return strings.Compare(a.Server, b.Server) })
+	return list
+}
+
+// Retain forgets all servers but the given ones.
+func (b *Board) Retain(isKnown func(server string) bool) {
+	maps.DeleteFunc(b.servers, func(name string, _ *entry) bool { return !isKnown(name) })
+}
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
 	"github.com/eelgrasshook/eelgrasshook/internal/rationer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -150,6 +151,10 @@
 	// instance that paces them.
 	StartClaims []allotter.StartClaim `cbor:"31,keyasint,omitempty"`
 	StartGrants []allotter.StartGrant `cbor:"32,keyasint,omitempty"`
+	// Readings are what an entry instance has read of the speed of servers' machines; Gauges are the estimates of the control instance
+	// that keeps them.
+	Readings []gauger.Report `cbor:"33,keyasint,omitempty"`
+	Gauges   []gauger.Gauge  `cbor:"34,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -180,6 +180,7 @@
 			delete(s.notServingSince, row.Name)
 			s.roster.Remove(row.Name)
 			delete(s.coldUntil, row.Name)
+			s.gauges.Retain(func(name string) bool { return name != row.Name })
 			s.rosterDirty = true
 		}
 	}
--- a/internal/steward/places.go
+++ b/internal/steward/places.go
@@ -21,6 +21,9 @@
 	if len(p.PlaceClaims) > 0 {
 		s.addPlaceClaims(conn, p.PlaceClaims)
 	}
+	if len(p.Readings) > 0 {
+		s.addReadings(p.Readings)
+	}
 	if len(p.StartClaims) > 0 {
 		s.addStartClaims(conn, p.StartClaims)
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/quarantiner"
@@ -105,6 +106,8 @@
 	places     *allotter.Ledger[string]
 	placeLinks map[string]*messenger.Link
 	placeTimer <-chan timer.Tick
+	// gauges holds the readings of the servers' machines that this instance keeps.
+	gauges *gauger.Board
 	// starts paces the requests that cold servers get.
 	starts *allotter.Pacer[string]
 	// coldUntil is until when each server is cold, by name.
@@ -141,7 +144,7 @@
 		memberSeenAt: map[replicator.ID]timer.Millis{}, learnerSince: map[replicator.ID]timer.Millis{}, identityByAddress: map[string]replicator.ID{},
 		evidence: quarantiner.NewEvidence(), rates: rationer.NewBoard[*messenger.Link](), pendingPrefillByEntry: map[*messenger.Link][]messenger.PendingPrefill{},
 		places: allotter.NewLedger[string](), placeLinks: map[string]*messenger.Link{},
-		starts: allotter.NewPacer[string](), coldUntil: map[string]timer.Millis{},
+		gauges: gauger.NewBoard(), starts: allotter.NewPacer[string](), coldUntil: map[string]timer.Millis{},
 		nonEmptyPrefillSent: map[*messenger.Link]bool{}, oldVersionSessions: map[uint64]bool{},
 		rosterSaves: make(chan SavedRoster),
 	}
@@ -341,6 +344,7 @@
 		p.Members = s.rows()
 	}
 	if peer.Address == "" {
+		p.Gauges = s.gauges.Gauges()
 		p.OfferedPolicyVersion = s.policy.Version
 		p.RateReports, p.HasRateReports = s.rates.Totals(s.deps.Telemetry.Clock.Now()), true
 		if peer.DataCentre == s.deps.Self.DataCentre && s.policy.Version > 0 {
--- a/internal/subscriber/deps.go
+++ b/internal/subscriber/deps.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/applier"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
@@ -69,6 +70,10 @@
 	// StartClaims returns the claims for starts at cold servers that are due; SetStarts applies the answers.
 	StartClaims func() []allotter.StartClaim
 	SetStarts   func([]allotter.StartGrant)
+	// Readings returns what was read of the speed of servers' machines since the last call, by the server's data centre; SetGauges
+	// receives the estimates of all instances together.
+	Readings  func() map[string][]gauger.Report
+	SetGauges func([]gauger.Gauge)
 	// SetGateways receives instances that connections to backend servers may lead through.
 	SetGateways func([]messenger.Gateway)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
--- a/internal/subscriber/reports.go
+++ b/internal/subscriber/reports.go
@@ -1,6 +1,10 @@
 package subscriber
 
-import "github.com/eelgrasshook/eelgrasshook/internal/messenger"
+import (
+	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
+	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
+	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
+)
 
 // reportPendingPrefill reports the waiting prefill to the control instances of the own region, since prompts cross
 // between its data centres. One empty report ends a series; further empty ones are not sent.
@@ -44,6 +48,33 @@
 	s.sendToNearest(messenger.Packet{ServerAlarms: list})
 }
 
+// reportReadings reports what was read of the speed of servers' machines to one control instance of each server's data centre, where
+// the readings of all instances meet.
+func (s *Subscriber) reportReadings() {
+	byLink := map[*messenger.Link][]gauger.Report{}
+	for dataCentre, list := range s.deps.Readings() {
+		if l := s.keeperIn(dataCentre); l != nil {
+			byLink[l] = append(byLink[l], list...)
+		}
+	}
+	for l, list := range byLink {
+		l.Send(messenger.Packet{Readings: list})
+	}
+}
+
+// keeperIn returns the link to the control instance that keeps what concerns a whole data centre, nil if none is linked.
+func (s *Subscriber) keeperIn(dataCentre string) *messenger.Link {
+	var candidates []allotter.Candidate
+	linkOf := map[allotter.Candidate]*messenger.Link{}
+	for l := range s.links {
+		c := allotter.Candidate{Instance: l.PeerGreeting().Instance, DataCentre: l.PeerGreeting().DataCentre}
+		linkOf[c] = l
+		candidates = append(candidates, c)
+	}
+	keeper, _ := allotter.Keeper(dataCentre, dataCentre, candidates)
+	return linkOf[keeper]
+}
+
 func (s *Subscriber) reportOldVersionSessions() {
 	if keys := s.deps.NewOldVersionSessions(); len(keys) > 0 {
 		s.sendToNearest(messenger.Packet{OldVersionSessions: keys})
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -184,6 +184,7 @@
 				s.broadcast(messenger.Packet{Outcomes: outcomes})
 			}
 			s.reportOldVersionSessions()
+			s.reportReadings()
 			outcomeReportDue = s.deps.Telemetry.Clock.After(outcomeReportInterval)
 		case <-ctx.Done():
 			return nil
@@ -316,6 +317,9 @@
 	if len(p.PlaceGrants) > 0 {
 		s.deps.SetPlaces(p.PlaceGrants)
 	}
+	if len(p.Gauges) > 0 {
+		s.deps.SetGauges(p.Gauges)
+	}
 	if len(p.StartGrants) > 0 {
 		s.deps.SetStarts(p.StartGrants)
 	}
