Bound what callers hold: bytes of requests, connections, time without progress

Cause: bodies were read whole before anything else, without a common bound; connections that stop half-way stayed for ever.

Change: internal/limiter. A budget of bytes for all requests of a process, taken before memory is; a bound on connections, below the descriptors; those that make no progress give way. Control instances too.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -101,6 +101,9 @@
 	MaxWait      timer.Millis  `ini:"max-wait" default:"30s" min:"10ms" max:"10m" doc:"Longest wait in the queue."`
 	Deadline     timer.Millis  `ini:"deadline" default:"5m" min:"100ms" max:"1h" doc:"Longest time for a request that sets no deadline, and the most that one may ask for."`
 	CallerStall  timer.Millis  `ini:"caller-stall" default:"30s" min:"100ms" max:"10m" doc:"Longest time that a caller may leave a piece of its answer unread."`
+	MaxHeld      decoder.Bytes `ini:"max-held" default:"32MiB" min:"1MiB" max:"16GiB" doc:"Most bytes that the requests of all callers hold together at an entry or control instance, from their headers on. Requests of more than 64 KiB may use three quarters of it. When it is used up, those whose bodies make no progress for a second give way, the largest first; others are refused as not run. It must hold one request of the largest size."`
+	MaxConns     int           `ini:"max-connections" default:"1000" min:"8" max:"100000" doc:"Most connections of callers, or of operators and backend servers, that are open at once, and at most half of the process's descriptors. When there are too many, one that makes no progress for a second gives way to a new one; a request that is being served does not."`
+	BodyWait     timer.Millis  `ini:"body-wait" default:"10s" min:"100ms" max:"10m" doc:"Longest time without a byte of a request body."`
 	HeaderWait   timer.Millis  `ini:"header-wait" default:"10s" min:"100ms" max:"5m" doc:"Longest time for a caller to send its request header."`
 	EngineStall  timer.Millis  `ini:"engine-stall" default:"20s" min:"100ms" max:"10m" doc:"Silence of a backend server within an answer after which the request goes to another one, once one has room."`
 	RetryShare   decoder.Share `ini:"retry-share" default:"20%" doc:"Most retries, as a share of first attempts."`
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -76,7 +76,9 @@
 	if c.control, err = listenOn(c.settings.Listen.Control, c.settings); err != nil {
 		return err
 	}
-	c.control.server.Handler = platform.NewControlHandler(c.telemetry, c.steward, c.settings.Instance.RegionOf())
+	limits := c.settings.Limits
+	c.control.limitConns(c.telemetry, "control", limits.MaxConns, limits.CallerStall)
+	c.control.server.Handler = platform.NewControlHandler(c.telemetry, c.steward, c.settings.Instance.RegionOf(), newBodyReader(c.telemetry, "orders", limits))
 	if c.links, err = listenOn(c.settings.Listen.Links, c.settings); err != nil {
 		return err
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -123,6 +123,7 @@
 	})
 	handler := platform.RequestHandler{
 		Telemetry: telemetry, Limits: e.forwarder.Limits, ClosesConnections: e.stopping.Load,
+		Reader: newBodyReader(telemetry, "requests", settings.Limits), Check: e.forwarder.Check,
 		Forward: func(r *http.Request, req *forwarder.Request, w http.ResponseWriter) {
 			e.forwarder.Serve(r.Context(), req, w)
 		},
@@ -131,11 +132,13 @@
 	if e.callers, err = e.listen(settings.Listen.Callers, handler); err != nil {
 		return nil, err
 	}
+	e.callers.limitConns(telemetry, "callers", settings.Limits.MaxConns, settings.Limits.CallerStall)
 	e.callers.server.IdleTimeout = entryIdleTimeout.Duration()
 	e.callers.server.ConnState = e.arrivals.recordState
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
 		return nil, err
 	}
+	e.ready.limitConns(telemetry, "readiness", maxProbeConns, settings.Limits.CallerStall)
 	if err = e.buildTunnels(dial); err != nil {
 		return nil, err
 	}
--- a/internal/launcher/listeners.go
+++ b/internal/launcher/listeners.go
@@ -15,6 +15,8 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/certifier"
 	"github.com/eelgrasshook/eelgrasshook/internal/configurer"
 	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
+	"github.com/eelgrasshook/eelgrasshook/internal/limiter"
+	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/decoder"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -48,6 +50,20 @@
 	return &listener{server: server, socket: socket}, nil
 }
 
+// maxProbeConns is the number of connections for probes and metrics that are open at once: few programs ask for them.
+const maxProbeConns = 64
+
+// limitConns bounds the connections of callers that are open at once; name tells in logs where they came.
+func (l *listener) limitConns(telemetry observer.Telemetry, name string, max int, stall timer.Millis) {
+	l.socket = limiter.NewListener(l.socket, telemetry.Clock, max, stall, limiter.NewPressure(telemetry, name))
+	l.server.ConnContext = limiter.WithConn
+}
+
+// newBodyReader returns the reader of request bodies of a process; name tells in logs where they came.
+func newBodyReader(telemetry observer.Telemetry, name string, limits configurer.Limits) limiter.Reader {
+	return limiter.Reader{Budget: limiter.NewBudget(telemetry.Clock, int64(limits.MaxHeld), limiter.NewPressure(telemetry, name)), Wait: limits.BodyWait}
+}
+
 func (l *listener) address() string {
 	return l.socket.Addr().String()
 }
@@ -82,12 +98,14 @@
 
 func (i *Instance) buildListeners() error {
 	var err error
+	limits := i.settings.Limits
 	if i.control, err = i.newListener(i.settings.Listen.Control); err != nil {
 		return err
 	}
 	if i.callers, err = i.newListener(i.settings.Listen.Callers); err != nil {
 		return err
 	}
+	i.callers.limitConns(i.telemetry, "callers", limits.MaxConns, limits.CallerStall)
 	return i.buildLinkListener()
 }
 
