Loads of servers that share their machines, known to all instances of a region; long prompts kept from streams they would hold up

Cause: an instance meets each of 60 servers once in 13 s, so it took most of them for idle, and went on to ask larger models at full ones. Long prompts were read wherever the queue was shortest, beside streams that then missed their target for pauses.

Change: control instances pass on the loads that servers report to any instance. strainOf weighs what a server has to read beyond the streams' target for pauses.

--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -19,6 +19,8 @@
 	addresses map[string]bool
 	// leaving are the addresses of servers that are leaving.
 	leaving map[string]bool
+	// gapTargets are the targets for pauses of the streams of each service.
+	gapTargets map[string]timer.Millis
 	// evacuated are the data centres whose servers get no new requests; takenBackAt is when others were taken back.
 	evacuated   map[string]bool
 	takenBackAt map[string]timer.Millis
@@ -31,6 +33,9 @@
 	old := f.fleetView.Load()
 	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, leaving: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{},
 		evacuated: evacuatedDataCentres(v.Evacuations), takenBackAt: takenBackAt(v.Evacuations)}
+	if view.gapTargets = old.gapTargets; old.Policy != v.Policy {
+		view.gapTargets = gapTargets(v.Policy)
+	}
 	for _, r := range v.RollOuts {
 		view.rollOuts[r.Service] = r
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -274,36 +274,6 @@
 	}
 }
 
-// Check returns the refusal of a request that no route or key allows, nil if one may. It spares the reading of a large body that would
-// be refused.
-func (f *Forwarder) Check(ctx context.Context, req *Request) *Refusal {
-	f.awaitPolicy(ctx)
-	f.deps.AwaitCurrent(ctx)
-	p := f.fleetView.Load().Policy
-	if p == nil {
-		return nil
-	}
-	_, _, refusal := matchRequest(p, req)
-	return refusal
-}
-
-// matchRequest returns the route and the workspace of a request, or the refusal if there is none; the workspace is nil where the
-// route needs none.
-func matchRequest(p *matcher.Policy, req *Request) (*matcher.Route, *matcher.Workspace, *Refusal) {
-	route := p.MatchRoute(req.Host, req.Path)
-	if route == nil {
-		return nil, nil, &Refusal{Status: http.StatusNotFound, Reason: "no route matches"}
-	}
-	if len(p.Workspaces) == 0 || route.AuthExempt {
-		return route, nil, nil
-	}
-	w := p.WorkspaceByKey(req.APIKey)
-	if w == nil {
-		return route, nil, &Refusal{Status: http.StatusUnauthorized, Reason: "the key is unknown"}
-	}
-	return route, w, nil
-}
-
 // newTask finds the route and the workspace of a request; the refusal gives the reason if it cannot be served.
 func (f *Forwarder) newTask(req *Request, w http.ResponseWriter) (*task, *Refusal) {
 	t := &task{Request: req, f: f, view: f.fleetView.Load(), tried: map[string]bool{}, writer: &writer{w: w},
--- a/internal/forwarder/gauges.go
+++ b/internal/forwarder/gauges.go
@@ -6,18 +6,29 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/gauger"
 )
 
-// Readings returns what this instance has read of the speed of servers' machines since the last call, by the server's data centre; it is
+// Readings returns what this instance has read from the answers of servers since the last call, by the server's data centre; it is
 // called by the goroutine that calls SetView.
 func (f *Forwarder) Readings() map[string][]gauger.Report {
+	now := f.deps.Telemetry.Clock.Now()
 	reports := map[string][]gauger.Report{}
 	for _, s := range f.serversByName {
-		if percents := s.meter.TakeUnsent(); len(percents) > 0 {
-			reports[s.DataCentre] = append(reports[s.DataCentre], gauger.Report{Server: s.Name, Incarnation: s.Incarnation, Percents: percents})
+		if r, ok := s.meter.TakeReport(gauger.Report{Server: s.Name, Incarnation: s.Incarnation}, now); ok {
+			reports[s.DataCentre] = append(reports[s.DataCentre], r)
 		}
 	}
 	return reports
 }
 
+// SetLoads stores the loads that servers have reported to any instance; it is called by the goroutine that calls SetView.
+func (f *Forwarder) SetLoads(list []gauger.Load) {
+	now := f.deps.Telemetry.Clock.Now()
+	for _, l := range list {
+		if s := f.serversByName[l.Server]; s != nil && s.Incarnation == l.Incarnation {
+			s.updateSharedLoad(l.Load, now)
+		}
+	}
+}
+
 // SetGauges stores the estimates of all instances together; it is called by the goroutine that calls SetView.
 func (f *Forwarder) SetGauges(list []gauger.Gauge) {
 	for _, g := range list {
--- a/internal/forwarder/gauges_test.go
+++ b/internal/forwarder/gauges_test.go
@@ -75,4 +75,7 @@
 	if list := env.f.Readings(); len(list) != 0 {
 		t.Fatalf("reported again: %v", list)
 	}
+	if list[0].Load != 1 {
+		t.Fatalf("reported a load of %d", list[0].Load)
+	}
 }
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -153,8 +153,12 @@
 // cost estimates the time to the server's response, in milliseconds, and adds the penalties for traffic between data
 // centres and for a cold cache.
 func (t *task) cost(s *server, load, slots int, slowness float64, cacheRank int, now timer.Millis) float64 {
-	prefillMs := s.prefillQueue.waitFor(t.urgency(s), now) + t.prefillTime(s)
+	prefill := t.prefillTime(s)
+	prefillMs := s.prefillQueue.waitFor(t.urgency(s), now) + prefill
 	cost := prefillMs + float64(load)/float64(slots)*fullLoadCost*s.meter.Factor()
+	if prefill > shortPrefill {
+		cost += strainOf(prefillMs, t.view.gapTargets[t.service], load)
+	}
 	if slowness > slowServerFactor {
 		cost = cost*slowness + slowServerCost
 	}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -158,7 +158,7 @@
 	if info.Slots == 0 {
 		return
 	}
-	s.meter.Add(info.WorkPercent)
+	s.meter.Add(info.Running+info.Waiting, info.WorkPercent, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reportedLoad, s.reportedSlots = info.Running+info.Waiting, info.Slots
@@ -166,6 +166,19 @@
 	s.reportedAt = now
 }
 
+// sharedLoadDelay is how long the report of a server to another instance takes to arrive here.
+const sharedLoadDelay = 200 * timer.Millisecond
+
+// updateSharedLoad stores the load that the server has reported to another instance, unless it has answered this one since.
+func (s *server) updateSharedLoad(load int, now timer.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now-sharedLoadDelay < s.reportedAt {
+		return
+	}
+	s.reportedLoad, s.ownAtReport, s.reportedAt = load, int(s.inFlight.Load()), now
+}
+
 // recordSuccess counts a good response and ends a suspension.
 func (s *server) recordSuccess() {
 	s.mu.Lock()
--- a/internal/gauger/board.go
+++ b/internal/gauger/board.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 const (
@@ -19,7 +21,17 @@
 type Report struct {
 	Server      string `cbor:"1,keyasint"`
 	Incarnation int64  `cbor:"2,keyasint"`
-	Percents    []int  `cbor:"3,keyasint"`
+	Percents    []int  `cbor:"3,keyasint,omitempty"`
+	// Load is the number of requests at the server by the last answer, and Age the time since then, in milliseconds.
+	Load int          `cbor:"4,keyasint,omitempty"`
+	Age  timer.Millis `cbor:"5,keyasint,omitempty"`
+}
+
+// Load is the number of requests at a server, as it said with its last answer to any instance.
+type Load struct {
+	Server      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Load        int    `cbor:"3,keyasint,omitempty"`
 }
 
 // Gauge is the estimate of how long work takes on a server's machine, in percent of the usual time.
@@ -38,6 +50,10 @@
 	incarnation int64
 	readings    Readings
 	published   int
+	// load is the last load, as of loadAt; isLoadNew means that TakeLoads has not returned it.
+	load      int
+	loadAt    timer.Millis
+	isLoadNew bool
 }
 
 // NewBoard returns an empty board.
@@ -45,8 +61,8 @@
 	return &Board{servers: map[string]*entry{}}
 }
 
-// Add adds the readings of a report, and returns the estimate and true if the instances must know it.
-func (b *Board) Add(r Report) (Gauge, bool) {
+// Add adds a report, and returns the estimate of the machine's speed and true if the instances must know it.
+func (b *Board) Add(r Report, now timer.Millis) (Gauge, bool) {
 	e := b.servers[r.Server]
 	if e == nil || r.Incarnation > e.incarnation {
 		e = &entry{incarnation: r.Incarnation}
@@ -55,6 +71,9 @@
 	if r.Incarnation < e.incarnation {
 		return Gauge{}, false
 	}
+	if at := now - max(0, r.Age); at >= e.loadAt {
+		e.load, e.loadAt, e.isLoadNew = max(0, r.Load), at, true
+	}
 	for _, percent := range r.Percents[:min(len(r.Percents), maxReported)] {
 		e.readings.Add(percent)
 	}
@@ -79,6 +98,19 @@
 	return list
 }
 
+// TakeLoads returns the loads that came since the last call, sorted by server.
+func (b *Board) TakeLoads() []Load {
+	var list []Load
+	for name, e := range b.servers {
+		if e.isLoadNew {
+			e.isLoadNew = false
+			list = append(list, Load{Server: name, Incarnation: e.incarnation, Load: e.load})
+		}
+	}
+	slices.SortFunc(list, func(a, b Load) int { return strings.Compare(a.Server, b.Server) })
+	return list
+}
+
 // Retain forgets all servers but the given ones.
 func (b *Board) Retain(isKnown func(server string) bool) {
 	maps.DeleteFunc(b.servers, func(name string, _ *entry) bool { return !isKnown(name) })
--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
 // Load: servers on machines of three speeds, each slowed down now and then by what else runs there. Guards against an estimate that
@@ -31,7 +34,7 @@
 				if rnd.Float64() < tt.share {
 					percent = int(float64(percent) * tt.factor)
 				}
-				if _, due := b.Add(Report{Server: "s", Incarnation: 1, Percents: []int{percent}}); due {
+				if _, due := b.Add(Report{Server: "s", Incarnation: 1, Percents: []int{percent}}, 1); due {
 					told++
 				}
 				if list := b.Gauges(); len(list) == 1 && list[0].Percent != tt.speed {
@@ -48,7 +51,7 @@
 func TestEstimateFollowsTheMachine(t *testing.T) {
 	b := NewBoard()
 	add := func(incarnation int64, percents ...int) (Gauge, bool) {
-		return b.Add(Report{Server: "s", Incarnation: incarnation, Percents: percents})
+		return b.Add(Report{Server: "s", Incarnation: incarnation, Percents: percents}, 1)
 	}
 	if _, due := add(1, 100, 100); due {
 		t.Error("an estimate from two readings")
@@ -83,16 +86,44 @@
 	if m.Factor() != 1 {
 		t.Fatal("a machine of which nothing is known does not count as usual")
 	}
-	m.Add(250)
+	m.Add(3, 250, 10)
 	if m.Factor() != 2.5 {
 		t.Fatal("the own reading does not count while there is no other")
 	}
 	m.SetShared(100)
-	m.Add(250)
+	m.Add(4, 250, 20)
 	if m.Factor() != 1 {
 		t.Fatal("the own reading counts")
 	}
-	if got := m.TakeUnsent(); len(got) != 2 || len(m.TakeUnsent()) != 0 {
-		t.Fatalf("unsent readings: %v", got)
+	r, ok := m.TakeReport(Report{Server: "s"}, 25)
+	if !ok || len(r.Percents) != 2 || r.Load != 4 || r.Age != 5 || r.Server != "s" {
+		t.Fatalf("reported %+v, %t", r, ok)
+	}
+	if r, ok := m.TakeReport(Report{}, 30); ok {
+		t.Fatalf("reported again: %+v", r)
+	}
+}
+
+// Load: many instances report the load of one server at different times. Guards against an older load that replaces a newer one, and
+// against loads that are told again though nothing came.
+func TestNewestLoadIsTold(t *testing.T) {
+	b := NewBoard()
+	steps := []struct {
+		now, age timer.Millis
+		load     int
+		want     []int
+	}{{100, 0, 3, []int{3}}, {200, 150, 9, nil}, {300, 20, 5, []int{5}}, {400, 0, -1, []int{0}}}
+	for i, step := range steps {
+		b.Add(Report{Server: "s", Incarnation: 1, Load: step.load, Age: step.age}, step.now)
+		var got []int
+		for _, l := range b.TakeLoads() {
+			got = append(got, l.Load)
+		}
+		if !slices.Equal(got, step.want) {
+			t.Fatalf("step %d: told %v, want %v", i, got, step.want)
+		}
+		if again := b.TakeLoads(); len(again) > 0 {
+			t.Fatalf("step %d: told again %v", i, again)
+		}
 	}
 }
--- a/internal/gauger/meter.go
+++ b/internal/gauger/meter.go
@@ -1,6 +1,10 @@
 package gauger
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
+)
 
 // minOwn is the number of own readings that count while no estimate of all instances is known.
 const minOwn = 1
@@ -9,32 +13,40 @@
 type Meter struct {
 	mu  sync.Mutex
 	own Readings
-	// unsent are the readings that are not reported yet.
-	unsent []int
+	// unsent are the readings that are not reported yet; load is the last load, as of loadAt, and isUnsent means that it is not.
+	unsent   []int
+	load     int
+	loadAt   timer.Millis
+	isUnsent bool
 	// shared is the estimate of all instances together, 0 if it is not known.
 	shared int
 }
 
-// Add adds a reading from an answer.
-func (m *Meter) Add(percent int) {
+// Add adds what an answer reports: the requests at the server, and a reading of its machine. Only servers that give readings share
+// their machines; the others are not reported.
+func (m *Meter) Add(load, percent int, now timer.Millis) {
 	if percent == 0 {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.load, m.loadAt, m.isUnsent = load, now, true
 	m.own.Add(percent)
 	if len(m.unsent) < maxReported {
 		m.unsent = append(m.unsent, percent)
 	}
 }
 
-// TakeUnsent returns the readings since the last call.
-func (m *Meter) TakeUnsent() []int {
+// TakeReport completes a report with what came since the last call, and returns false if there is nothing.
+func (m *Meter) TakeReport(r Report, now timer.Millis) (Report, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	list := m.unsent
-	m.unsent = nil
-	return list
+	if !m.isUnsent {
+		return r, false
+	}
+	r.Percents, r.Load, r.Age = m.unsent, m.load, now-m.loadAt
+	m.unsent, m.isUnsent = nil, false
+	return r, true
 }
 
 // SetShared stores the estimate of all instances together.
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	c.steward = steward.NewSteward(steward.Deps{
-		Telemetry: telemetry, Seeds: seeds, Record: c.record, RestoredRoster: restored, SaveRoster: save,
+		Telemetry: telemetry, Seeds: seeds, RegionOf: settings.Instance.RegionOf(), Record: c.record, RestoredRoster: restored, SaveRoster: save,
 		Self: messenger.Greeting{
 			Instance: settings.Instance.Name, DataCentre: settings.Instance.DataCentre, Address: self, Member: c.record.ID(),
 		},
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -118,7 +118,7 @@
 		RateReports: e.forwarder.RateReports, SetOthersRates: e.forwarder.SetOthersRates,
 		PlaceClaims: e.forwarder.PlaceClaims, SetPlaces: e.forwarder.SetPlaces,
 		StartClaims: e.forwarder.StartClaims, SetStarts: e.forwarder.SetStarts,
-		Readings: e.forwarder.Readings, SetGauges: e.forwarder.SetGauges,
+		Readings: e.forwarder.Readings, SetGauges: e.forwarder.SetGauges, SetLoads: e.forwarder.SetLoads,
 		SetGateways: e.paths.SetGateways,
 	})
 	handler := platform.RequestHandler{
--- a/internal/messenger/packet.go
+++ b/internal/messenger/packet.go
@@ -151,10 +151,12 @@
 	// instance that paces them.
 	StartClaims []allotter.StartClaim `cbor:"31,keyasint,omitempty"`
 	StartGrants []allotter.StartGrant `cbor:"32,keyasint,omitempty"`
-	// Readings are what an entry instance has read of the speed of servers' machines; Gauges are the estimates of the control instance
-	// that keeps them.
+	// Readings are what an entry instance has read from the answers of servers; Gauges are the estimates of their machines by the
+	// control instance that keeps the readings.
 	Readings []gauger.Report `cbor:"33,keyasint,omitempty"`
 	Gauges   []gauger.Gauge  `cbor:"34,keyasint,omitempty"`
+	// Loads are those of servers that have answered any instance lately.
+	Loads []gauger.Load `cbor:"35,keyasint,omitempty"`
 	// Call is a request to the leader; Reply is its response.
 	Call  *Call  `cbor:"11,keyasint,omitempty"`
 	Reply *Reply `cbor:"12,keyasint,omitempty"`
--- a/internal/steward/places.go
+++ b/internal/steward/places.go
@@ -32,12 +32,10 @@
 // addStartClaims applies the claims of an entry instance for starts at cold servers, and answers. Claims for a server whose starts
 // another control instance paces get no answer.
 func (s *Steward) addStartClaims(conn *messenger.Link, claims []allotter.StartClaim) {
-	sender, ok := s.connections[conn]
+	key, ok := s.registerClaimant(conn)
 	if !ok {
 		return
 	}
-	key := incarnationKey(sender)
-	s.placeLinks[key] = conn
 	candidates := s.ledgerCandidates()
 	now := s.deps.Telemetry.Clock.Now()
 	for _, c := range claims {
@@ -51,12 +49,10 @@
 // addPlaceClaims applies the claims of an entry instance for places of brittle servers, and answers. Claims for a server whose
 // ledger another control instance keeps get no answer: two keepers would give the same places away.
 func (s *Steward) addPlaceClaims(conn *messenger.Link, claims []allotter.Claim) {
-	sender, ok := s.connections[conn]
+	key, ok := s.registerClaimant(conn)
 	if !ok {
 		return
 	}
-	key := incarnationKey(sender)
-	s.placeLinks[key] = conn
 	candidates := s.ledgerCandidates()
 	now := s.deps.Telemetry.Clock.Now()
 	for _, c := range claims {
@@ -67,6 +63,16 @@
 	s.sendPlaceGrants()
 }
 
+// registerClaimant notes the link to an entry instance that claims places or starts, and returns its key in the ledgers.
+func (s *Steward) registerClaimant(conn *messenger.Link) (key string, ok bool) {
+	sender, ok := s.connections[conn]
+	if ok {
+		key = incarnationKey(sender)
+		s.placeLinks[key] = conn
+	}
+	return key, ok
+}
+
 // ledgerCandidates returns the control instances that may keep ledgers, this one first.
 func (s *Steward) ledgerCandidates() []allotter.Candidate {
 	list := []allotter.Candidate{{Instance: s.deps.Self.Instance, DataCentre: s.deps.Self.DataCentre}}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -46,6 +46,8 @@
 	Telemetry observer.Telemetry
 	Config    Config
 	Self      messenger.Greeting
+	// RegionOf is the region of each data centre; one that is missing is a region of its own.
+	RegionOf map[string]string
 	// Seeds are the link addresses of the control instances to connect to first.
 	Seeds  []string
 	Record *recorder.Record
@@ -107,7 +109,8 @@
 	placeLinks map[string]*messenger.Link
 	placeTimer <-chan timer.Tick
 	// gauges holds the readings of the servers' machines that this instance keeps.
-	gauges *gauger.Board
+	gauges    *gauger.Board
+	loadTimer <-chan timer.Tick
 	// starts paces the requests that cold servers get.
 	starts *allotter.Pacer[string]
 	// coldUntil is until when each server is cold, by name.
@@ -223,6 +226,9 @@
 		case <-s.placeTimer:
 			s.placeTimer = nil
 			s.sendPlaceGrants()
+		case <-s.loadTimer:
+			s.loadTimer = nil
+			s.sendLoads()
 		case <-s.memberTimer:
 			s.sendPendingMembers()
 		case <-s.alarmTimer:
--- a/internal/subscriber/deps.go
+++ b/internal/subscriber/deps.go
@@ -70,10 +70,11 @@
 	// StartClaims returns the claims for starts at cold servers that are due; SetStarts applies the answers.
 	StartClaims func() []allotter.StartClaim
 	SetStarts   func([]allotter.StartGrant)
-	// Readings returns what was read of the speed of servers' machines since the last call, by the server's data centre; SetGauges
-	// receives the estimates of all instances together.
+	// Readings returns what was read from the answers of servers since the last call, by the server's data centre; SetGauges and
+	// SetLoads receive what all instances have read together.
 	Readings  func() map[string][]gauger.Report
 	SetGauges func([]gauger.Gauge)
+	SetLoads  func([]gauger.Load)
 	// SetGateways receives instances that connections to backend servers may lead through.
 	SetGateways func([]messenger.Gateway)
 	// Outcomes returns the answers that this instance counted during running roll-outs.
--- a/internal/subscriber/reports.go
+++ b/internal/subscriber/reports.go
@@ -48,7 +48,7 @@
 	s.sendToNearest(messenger.Packet{ServerAlarms: list})
 }
 
-// reportReadings reports what was read of the speed of servers' machines to one control instance of each server's data centre, where
+// reportReadings reports what was read from the answers of servers to one control instance of each server's data centre, where
 // the readings of all instances meet.
 func (s *Subscriber) reportReadings() {
 	byLink := map[*messenger.Link][]gauger.Report{}
@@ -105,3 +105,35 @@
 	}
 	s.sendToNearest(messenger.Packet{RequestsRoster: true})
 }
+
+// handleServerReports passes on what other instances know of backend servers in trouble.
+func (s *Subscriber) handleServerReports(p messenger.Packet) {
+	if len(p.ServerAlarms) > 0 {
+		s.deps.SuspendServers(p.ServerAlarms)
+	}
+	if len(p.Gateways) > 0 {
+		s.knowsGateways = true
+		s.deps.SetGateways(p.Gateways)
+	}
+	if p.HasRateReports {
+		s.deps.SetOthersRates(p.RateReports)
+	}
+	if len(p.PlaceGrants) > 0 {
+		s.deps.SetPlaces(p.PlaceGrants)
+	}
+	if len(p.Gauges) > 0 {
+		s.deps.SetGauges(p.Gauges)
+	}
+	if len(p.Loads) > 0 {
+		s.deps.SetLoads(p.Loads)
+	}
+	if len(p.StartGrants) > 0 {
+		s.deps.SetStarts(p.StartGrants)
+	}
+	if len(p.Acquittals) > 0 {
+		s.deps.AddAcquittals(p.Acquittals)
+	}
+	if len(p.CrashReports) > 0 {
+		s.deps.AddCrashReports(p.CrashReports)
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -175,6 +175,7 @@
 			s.reportAlarms(a)
 		case <-prefillReportDue:
 			s.reportPendingPrefill()
+			s.reportReadings()
 			s.reportRates()
 			s.sendPlaceClaims(false)
 			s.refreshGateways()
@@ -184,7 +185,6 @@
 				s.broadcast(messenger.Packet{Outcomes: outcomes})
 			}
 			s.reportOldVersionSessions()
-			s.reportReadings()
 			outcomeReportDue = s.deps.Telemetry.Clock.After(outcomeReportInterval)
 		case <-ctx.Done():
 			return nil
@@ -302,35 +302,6 @@
 	}
 }
 
-// handleServerReports passes on what other instances know of backend servers in trouble.
-func (s *Subscriber) handleServerReports(p messenger.Packet) {
-	if len(p.ServerAlarms) > 0 {
-		s.deps.SuspendServers(p.ServerAlarms)
-	}
-	if len(p.Gateways) > 0 {
-		s.knowsGateways = true
-		s.deps.SetGateways(p.Gateways)
-	}
-	if p.HasRateReports {
-		s.deps.SetOthersRates(p.RateReports)
-	}
-	if len(p.PlaceGrants) > 0 {
-		s.deps.SetPlaces(p.PlaceGrants)
-	}
-	if len(p.Gauges) > 0 {
-		s.deps.SetGauges(p.Gauges)
-	}
-	if len(p.StartGrants) > 0 {
-		s.deps.SetStarts(p.StartGrants)
-	}
-	if len(p.Acquittals) > 0 {
-		s.deps.AddAcquittals(p.Acquittals)
-	}
-	if len(p.CrashReports) > 0 {
-		s.deps.AddCrashReports(p.CrashReports)
-	}
-}
-
 func (s *Subscriber) policyVersion() int64 {
 	if s.view.Policy == nil {
 		return -1
