A begun stream waits while all servers that may go on with it are away; served connections of all handlers do not give way

Two faults found by reading. A stream that had begun was broken off at once when its region had no server for a moment: only requests that have nothing yet are refused at once. Connections of the own interface, of control calls and encrypted ones never counted as served, so under pressure they could give way while their answer was made. TestBegunStreamWaitsForItsRegion fails before.

--- a/internal/forwarder/allowed_test.go
+++ b/internal/forwarder/allowed_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,3 +189,24 @@
 		t.Fatalf("status %d, the version without a roll-out got %d requests", rec.Code, len(b.requests()))
 	}
 }
+
+// Guards against a stream that is broken off while all servers that may go on with it are away for a moment: its caller has a part of
+// the answer.
+func TestBegunStreamWaitsForItsRegion(t *testing.T) {
+	env := newRegionEnv(t, matcher.Route{Kind: matcher.KindStreaming, Resumable: true, Regions: []string{"B"}},
+		map[string]*fakeServer{"a1": {respond: pausingStream(0)}, "b1": {}, "b2": {}})
+	var begun atomic.Bool
+	for _, name := range []string{"b1", "b2"} {
+		env.servers[name].respond = func(n int, r *http.Request, w io.Writer) bool {
+			if begun.Swap(true) {
+				return pausingStream(0)(n, r, w)
+			}
+			env.evacuate("b")
+			time.AfterFunc(200*time.Millisecond, func() { env.evacuate() })
+			return breakStream(n, r, w)
+		}
+	}
+	if rec, broken := env.serve(Request{}); broken || rec.Body.String() != wholeStream() {
+		t.Fatalf("broken off %t, got %q", broken, rec.Body.String())
+	}
+}
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -47,7 +47,7 @@
 	waitUntil := t.ArrivedAt + max(t.route.TargetLatency*slotWaitPercent/100, slotPollInterval)
 	for {
 		now := t.f.deps.Telemetry.Clock.Now()
-		if t.allowed().excluded {
+		if t.writer.status == 0 && t.allowed().excluded {
 			return nil, t.excludedRefusal()
 		}
 		s, reason := t.pickServer(now)
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -285,3 +285,34 @@
 		})
 	}
 }
+
+// Guards against a request that is served for long and counts as stalled, because its handler reads bodies itself or its connection is
+// encrypted.
+func TestServedRequestIsNoStall(t *testing.T) {
+	for name, start := range map[string]func(*httptest.Server){"plain": (*httptest.Server).Start, "encrypted": (*httptest.Server).StartTLS} {
+		t.Run(name, func(t *testing.T) {
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			telemetry := observer.NewDiscard(timer.NewManualClock(1_000_000).Clock())
+			l := NewListener(raw, telemetry.Clock, 4, 0, NewPressure(telemetry, "test"))
+			mayGiveWay := make(chan bool, 1)
+			server := &httptest.Server{Listener: l, Config: &http.Server{ConnContext: WithConn, Handler: ServeWhole(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				for c := range l.conns {
+					mayGiveWay <- c.mayGiveWay()
+				}
+			}))}}
+			start(server)
+			defer server.Close()
+			res, err := server.Client().Get(server.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if <-mayGiveWay {
+				t.Fatal("the connection may give way while its request is served")
+			}
+		})
+	}
+}
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -171,9 +172,20 @@
 
 // WithConn returns a context that holds a caller's connection, for http.Server.ConnContext.
 func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = encrypted.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// ServeWhole returns a handler whose requests count as served from their head on: it reads their bodies itself.
+func ServeWhole(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer Serving(r.Context())()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Serving records that the request of a context was read completely and is served until done is called.
 func Serving(ctx context.Context) (done func()) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
