--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -158,5 +158,10 @@
 	l.held, l.evicted = 0, true
 	delete(b.leases, l)
 	b.pressure.recordEviction()
-	go l.evict()
+	go l.runEviction()
+}
+
+// runEviction ends the request from outside.
+func (l *Lease) runEviction() {
+	l.evict()
 }
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -70,7 +70,7 @@
 		}
 		delete(l.conns, victim)
 		l.pressure.recordEviction()
-		go func() { _ = victim.Close() }()
+		go victim.runClose()
 	}
 	l.conns[c] = true
 	return true
@@ -162,6 +162,11 @@
 	return nil
 }
 
+// runClose closes a connection that gives way; its owner may be reading from it.
+func (c *Conn) runClose() {
+	_ = c.Close()
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.listener.remove(c)
