--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -123,20 +123,18 @@
 	ranks := t.cacheRanks(list)
 	for i, s := range list {
 		suspended, slowness := s.availability(now)
-		if suspended != suspendedOnly || t.tried[s.Name] || t.declined[s.Name] {
+		if suspended != suspendedOnly || t.hasAsked(s) {
 			continue
 		}
-		slots := max(1, s.Slots)
-		load := s.load(now)
-		mayGet := s.mayGet(now, load)
-		if load >= t.maxLoad(slots) || !mayGet && !s.starts.IsCold(now) {
+		slots, load := max(1, s.Slots), s.load(now)
+		if load >= t.maxLoad(slots) {
 			continue
 		}
-		rank := -1
-		if ranks != nil {
-			rank = ranks[i]
+		mayGet := s.mayGet(now, load)
+		if !mayGet && !s.starts.IsCold(now) {
+			continue
 		}
-		cost := t.cost(s, load, slots, slowness, rank, now)
+		cost := t.cost(s, load, slots, slowness, rankAt(ranks, i), now)
 		switch {
 		case mayGet && (best == nil || cost < lowest):
 			best, lowest = s, cost
@@ -150,6 +148,19 @@
 	return best, cold
 }
 
+// hasAsked reports whether the request was sent to a server already, or declined there.
+func (t *task) hasAsked(s *server) bool {
+	return t.tried[s.Name] || t.declined[s.Name]
+}
+
+// rankAt returns the cache rank of a server in a list, -1 if the request has no shared parts.
+func rankAt(ranks []int, i int) int {
+	if ranks == nil {
+		return -1
+	}
+	return ranks[i]
+}
+
 // cost estimates the time to the server's response, in milliseconds, and adds the penalties for traffic between data
 // centres and for a cold cache.
 func (t *task) cost(s *server, load, slots int, slowness float64, cacheRank int, now timer.Millis) float64 {
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -78,11 +78,7 @@
 		if suspended || t.tried[s.Name] || t.claimed[s] || !hasKeeper || s.ration.IsResting(now, s.occupancy(load, now)) {
 			continue
 		}
-		rank := -1
-		if ranks != nil {
-			rank = ranks[i]
-		}
-		if cost := t.cost(s, load, max(1, s.Slots), slowness, rank, now); best == nil || cost < lowest {
+		if cost := t.cost(s, load, max(1, s.Slots), slowness, rankAt(ranks, i), now); best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -128,24 +128,33 @@
 			e.forwarder.Serve(r.Context(), req, w)
 		},
 	}
-	var err error
-	if e.callers, err = e.listen(settings.Listen.Callers, handler); err != nil {
+	if err := e.buildListeners(handler); err != nil {
+		return nil, err
+	}
+	if err := e.buildTunnels(dial); err != nil {
 		return nil, err
 	}
-	e.callers.limitConns(telemetry, "callers", settings.Limits.MaxConns, settings.Limits.CallerStall)
+	return e, nil
+}
+
+// buildListeners binds the addresses for callers, probes and metrics.
+func (e *Entry) buildListeners(callers http.Handler) error {
+	settings := e.settings
+	var err error
+	if e.callers, err = e.listen(settings.Listen.Callers, callers); err != nil {
+		return err
+	}
+	e.callers.limitConns(e.telemetry, "callers", settings.Limits.MaxConns, settings.Limits.CallerStall)
 	e.callers.server.IdleTimeout = entryIdleTimeout.Duration()
 	e.callers.server.ConnState = e.arrivals.recordState
 	if e.ready, err = e.listen(settings.Listen.Ready, platform.ReadinessHandler(e.checkReady)); err != nil {
-		return nil, err
-	}
-	e.ready.limitConns(telemetry, "readiness", maxProbeConns, settings.Limits.CallerStall)
-	if err = e.buildTunnels(dial); err != nil {
-		return nil, err
+		return err
 	}
+	e.ready.limitConns(e.telemetry, "readiness", maxProbeConns, settings.Limits.CallerStall)
 	if settings.Listen.Metrics != "" {
-		e.metrics, err = e.listen(settings.Listen.Metrics, observer.MetricsHandler(telemetry))
+		e.metrics, err = e.listen(settings.Listen.Metrics, observer.MetricsHandler(e.telemetry))
 	}
-	return e, err
+	return err
 }
 
 // buildTunnels builds the handler that relays connections of other instances, and its listener if the settings name an address.
--- a/internal/linter/linter.go
+++ b/internal/linter/linter.go
@@ -67,6 +67,14 @@
 
 func (c *check) checkRoute(r matcher.Route) {
 	entry := "route " + r.Name
+	c.checkMatching(entry, r)
+	c.checkTimes(entry, r)
+	c.checkAttempts(entry, r)
+	c.checkRegions(entry, r.Regions)
+}
+
+// checkMatching finds what no request of a route can match.
+func (c *check) checkMatching(entry string, r matcher.Route) {
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		c.add(KindUnmatched, entry, "the prefix %q does not begin and end with a slash", r.PathPrefix)
 	}
@@ -79,6 +87,10 @@
 		}
 		c.checkModels(entry, r, c.policy.Services[share.Service])
 	}
+}
+
+// checkTimes finds times that contradict each other.
+func (c *check) checkTimes(entry string, r matcher.Route) {
 	if r.TargetLatency > r.Timeout {
 		c.add(KindContradiction, entry, "the target of %v is longer than the time limit of %v", r.TargetLatency, r.Timeout)
 	}
@@ -88,6 +100,10 @@
 	if r.TargetGap > 0 && r.Kind != matcher.KindStreaming {
 		c.add(KindContradiction, entry, "it has a target for pauses and is no stream")
 	}
+}
+
+// checkAttempts finds what needs more attempts than the route allows.
+func (c *check) checkAttempts(entry string, r matcher.Route) {
 	if r.Resumable && r.Kind != matcher.KindStreaming {
 		c.add(KindContradiction, entry, "it is resumable and no stream")
 	}
@@ -97,7 +113,6 @@
 	if len(r.Models) > 1 && (!r.IsRetryable() || r.MaxAttempts < 2) {
 		c.add(KindContradiction, entry, "it names %d models, but no second attempt may ask a larger one", len(r.Models))
 	}
-	c.checkRegions(entry, r.Regions)
 }
 
 // checkModels finds models that a service does not have.
