Publish views of new servers together; look up what a service says of cold servers once

An entry instance builds a view of all servers with each message about some; while the fleet starts, that is thousands a second, 3 to 7 ms each. Views that differ by servers that serve are 25 ms apart now; what leaves, and policies, roll-outs and evacuations go at once, as before. The cold terms of a service no longer cost a look into the policy for each server.

--- a/internal/allotter/starts.go
+++ b/internal/allotter/starts.go
@@ -75,6 +75,13 @@
 	return !wasCold && s.IsCold(now)
 }
 
+// SetWarm stores that the server's service names no rate for cold servers.
+func (s *Starts) SetWarm() {
+	if s.coldUntil.Load() != 0 {
+		s.SetCold(0, 0, 0)
+	}
+}
+
 // ExtendCold stores that the server is cold at least until the given time, and reports whether it was warm before.
 func (s *Starts) ExtendCold(until, now timer.Millis) bool {
 	s.mu.Lock()
--- a/internal/forwarder/cold.go
+++ b/internal/forwarder/cold.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/eelgrasshook/eelgrasshook/internal/allotter"
 	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
+	"github.com/eelgrasshook/eelgrasshook/internal/matcher"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -11,22 +12,43 @@
 // given.
 const coldSendTimeout = 100 * timer.Millisecond
 
+// coldTerms are the rate and the usual time of cold servers of a service.
+type coldTerms struct {
+	rate float64
+	span timer.Millis
+}
+
+// coldTermsOf returns the terms of the services whose servers bear few requests while they are cold. With thousands of servers, a view
+// must not look into the policy for each of them.
+func coldTermsOf(p *matcher.Policy) map[string]coldTerms {
+	terms := map[string]coldTerms{}
+	if p == nil {
+		return terms
+	}
+	for name, s := range p.Services {
+		if s.ColdRate > 0 {
+			terms[name] = coldTerms{rate: s.ColdRate, span: s.ColdStart}
+		}
+	}
+	return terms
+}
+
 // updateCold stores until when a server is cold. The servers of a data centre that was taken back count as cold for the usual time:
 // they may have been without work long enough to turn cold, and say so only with their next announcement.
-func (f *Forwarder) updateCold(s *server, m registrar.Member, view *fleetView) {
-	if view.Policy == nil {
+func (f *Forwarder) updateCold(s *server, m registrar.Member, view *fleetView, now timer.Millis) {
+	terms, ok := view.coldTerms[m.Service]
+	if !ok {
+		s.starts.SetWarm()
 		return
 	}
-	service := view.Policy.Services[m.Service]
-	now := f.deps.Telemetry.Clock.Now()
 	if s.announcedSequence != m.Sequence {
 		s.announcedSequence, s.announcedCold = m.Sequence, now+m.WarmUp
 	}
 	until := s.announcedCold
 	if at, ok := view.takenBackAt[m.DataCentre]; ok {
-		until = max(until, at+service.ColdStart)
+		until = max(until, at+terms.span)
 	}
-	if s.starts.SetCold(service.ColdRate, until, now) {
+	if s.starts.SetCold(terms.rate, until, now) {
 		f.logCold(s, until-now, "announcement or evacuation")
 	}
 }
--- a/internal/forwarder/cold_test.go
+++ b/internal/forwarder/cold_test.go
@@ -19,7 +19,9 @@
 	env := newTestEnv(t, matcher.Route{Kind: kind}, map[string]*fakeServer{"warm": {respond: replyDone}, "cold": {respond: replyDone}})
 	s := env.policy.Services["s"]
 	s.ColdRate, s.ColdStart = 10, 3*timer.Second
-	env.policy.Services["s"] = s
+	policy := *env.policy
+	policy.Services = map[string]matcher.Service{"s": s}
+	env.policy = &policy
 	for i := range env.members {
 		env.members[i].Incarnation = 2
 		if env.members[i].Name == "cold" {
--- a/internal/forwarder/fleet_view.go
+++ b/internal/forwarder/fleet_view.go
@@ -19,6 +19,8 @@
 	addresses map[string]bool
 	// leaving are the addresses of servers that are leaving.
 	leaving map[string]bool
+	// coldTerms are those of the services that name some.
+	coldTerms map[string]coldTerms
 	// gapTargets are the targets for pauses of the streams of each service.
 	gapTargets map[string]timer.Millis
 	// evacuated are the data centres whose servers get no new requests; takenBackAt is when others were taken back.
@@ -33,9 +35,10 @@
 	old := f.fleetView.Load()
 	view := &fleetView{View: v, servers: map[string][]*server{}, addresses: map[string]bool{}, leaving: map[string]bool{}, rollOuts: map[string]subscriber.RollOut{},
 		evacuated: evacuatedDataCentres(v.Evacuations), takenBackAt: takenBackAt(v.Evacuations)}
-	if view.gapTargets = old.gapTargets; old.Policy != v.Policy {
-		view.gapTargets = gapTargets(v.Policy)
+	if view.gapTargets, view.coldTerms = old.gapTargets, old.coldTerms; old.Policy != v.Policy {
+		view.gapTargets, view.coldTerms = gapTargets(v.Policy), coldTermsOf(v.Policy)
 	}
+	now := f.deps.Telemetry.Clock.Now()
 	for _, r := range v.RollOuts {
 		view.rollOuts[r.Service] = r
 	}
@@ -44,8 +47,10 @@
 	for _, m := range v.Members {
 		s := f.serverFor(previous[m.Name], m)
 		f.serversByName[m.Name] = s
-		f.updateCold(s, m, view)
-		f.applyGauge(s)
+		f.updateCold(s, m, view, now)
+		if len(f.gauges) > 0 {
+			f.applyGauge(s)
+		}
 		delete(previous, m.Name)
 		view.addresses[m.Address] = true
 		switch m.State {
--- a/internal/subscriber/evacuations.go
+++ b/internal/subscriber/evacuations.go
@@ -22,7 +22,7 @@
 		default:
 			continue
 		}
-		s.viewChanged = true
+		s.viewChanged, s.viewIsUrgent = true, true
 		s.deps.Telemetry.Log.Info("evacuation known", "data-centre", e.DataCentre, "active", e.Active, "number", e.Number, "elapsed", e.Elapsed)
 	}
 	s.view.Evacuations = merged
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -50,7 +50,11 @@
 	roster           *registrar.Roster
 	view             View
 	viewChanged      bool
-	standstill       *standstill
+	// viewIsUrgent means that the change must not wait; viewTimer ends the wait of one that may. publishedAt is the time of the last view.
+	viewIsUrgent bool
+	viewTimer    <-chan timer.Tick
+	publishedAt  timer.Millis
+	standstill   *standstill
 	// syncNumber is the number of the last SyncRequest, and syncUntil the time at which the wait for its reply ends; 0 if
 	// there is none.
 	syncNumber uint64
@@ -123,7 +127,7 @@
 func (s *Subscriber) ReportLeaving(w registrar.Withdrawal) {
 	s.enqueue(func() {
 		if s.roster.Withdraw(w) {
-			s.viewChanged = true
+			s.viewChanged, s.viewIsUrgent = true, true
 		}
 		s.broadcast(messenger.Packet{Withdrawals: []registrar.Withdrawal{w}})
 	})
@@ -167,6 +171,9 @@
 			s.runQueuedEvents()
 			s.publishView()
 			s.finishSync()
+		case <-s.viewTimer:
+			s.viewTimer = nil
+			s.publishView()
 		case <-s.prefillReportRequests:
 			s.reportPendingPrefill()
 		case <-s.placeChanges:
@@ -258,6 +265,7 @@
 		}
 		if accepted, changed := s.roster.Merge(m); changed || accepted && m.State == registrar.MemberStateServing {
 			s.viewChanged = true
+			s.viewIsUrgent = s.viewIsUrgent || m.State != registrar.MemberStateServing
 			s.deps.Telemetry.Log.Debug("backend server updated", "server", m.Name, "standing", m.State, "from", l.PeerGreeting().Instance)
 		}
 	}
@@ -296,7 +304,7 @@
 			continue
 		}
 		if s.roster.Withdraw(w) {
-			s.viewChanged = true
+			s.viewChanged, s.viewIsUrgent = true, true
 			s.deps.Telemetry.Log.Debug("backend server withdrawn", "server", w.Name, "from", from)
 		}
 	}
@@ -333,7 +341,7 @@
 		return
 	}
 	s.view.Policy = policy
-	s.viewChanged = true
+	s.viewChanged, s.viewIsUrgent = true, true
 	s.deps.Telemetry.Log.Info("policy in force", "version", p.Version, "routes", len(policy.Routes), "from", from)
 }
 
@@ -355,17 +363,29 @@
 			}
 			merged[i] = received
 		}
-		s.viewChanged = true
+		s.viewChanged, s.viewIsUrgent = true, true
 		s.deps.Telemetry.Log.Info("roll-out known", "service", r.Service, "target", r.TargetVersion, "state", r.State, "elapsed", r.Elapsed)
 	}
 	s.view.RollOuts = merged
 }
 
+// viewInterval is the time between two views that differ by servers that serve. While a fleet of thousands starts, a view takes
+// milliseconds, and a new one with each message would take the whole processor.
+const viewInterval = 25 * timer.Millisecond
+
 func (s *Subscriber) publishView() {
-	if !s.viewChanged {
+	now := s.deps.Telemetry.Clock.Now()
+	wait := s.publishedAt + viewInterval - now
+	switch {
+	case !s.viewChanged:
+		return
+	case wait > 0 && !s.viewIsUrgent && !s.syncReplied:
+		if s.viewTimer == nil {
+			s.viewTimer = s.deps.Telemetry.Clock.After(wait)
+		}
 		return
 	}
-	s.viewChanged = false
+	s.viewChanged, s.viewIsUrgent, s.publishedAt = false, false, now
 	s.view.Members = s.roster.Members()
 	s.deps.Publish(s.view)
 }
