--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -167,7 +167,7 @@
 	prefill := t.prefillTime(s)
 	prefillMs := s.prefillQueue.waitFor(t.urgency(s), now) + prefill
 	cost := prefillMs + float64(load)/float64(slots)*fullLoadCost*s.meter.Factor()
-	if prefill > shortPrefill {
+	if prefill > shortPrefill && s.meter.IsKnown() {
 		cost += strainOf(prefillMs, t.view.gapTargets[t.service], load)
 	}
 	if slowness > slowServerFactor {
--- a/internal/gauger/meter.go
+++ b/internal/gauger/meter.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// IsKnown reports whether the server tells how fast its machine works.
+func (m *Meter) IsKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, count := m.own.Median()
+	return m.shared > 0 || count > 0
+}
+
 // Factor returns how long work takes on the machine, relative to the usual time; 1 while nothing is known.
 func (m *Meter) Factor() float64 {
 	m.mu.Lock()
