--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -258,17 +258,7 @@
 		s.controlAddresses[l] = p.ControlAddresses
 		s.updateLinks()
 	}
-	for _, m := range p.Members {
-		if err := m.Check(); err != nil {
-			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "from", l.PeerGreeting().Instance, "error", err)
-			continue
-		}
-		if accepted, changed := s.roster.Merge(m); changed || accepted && m.State == registrar.MemberStateServing {
-			s.viewChanged = true
-			s.viewIsUrgent = s.viewIsUrgent || m.State != registrar.MemberStateServing
-			s.deps.Telemetry.Log.Debug("backend server updated", "server", m.Name, "standing", m.State, "from", l.PeerGreeting().Instance)
-		}
-	}
+	s.mergeMembers(p.Members, l.PeerGreeting().Instance)
 	s.mergeWithdrawals(p.Withdrawals, l.PeerGreeting().Instance)
 	if p.OfferedPolicyVersion > s.policyVersion() {
 		delay := policyRequestDelay
@@ -296,6 +286,21 @@
 	s.handleServerReports(p)
 }
 
+// mergeMembers merges the rows of the roster that a control instance sent.
+func (s *Subscriber) mergeMembers(list []registrar.Member, from string) {
+	for _, m := range list {
+		if err := m.Check(); err != nil {
+			s.deps.Telemetry.Log.Warn("row of the roster ignored", "server", m.Name, "from", from, "error", err)
+			continue
+		}
+		if accepted, changed := s.roster.Merge(m); changed || accepted && m.State == registrar.MemberStateServing {
+			s.viewChanged = true
+			s.viewIsUrgent = s.viewIsUrgent || m.State != registrar.MemberStateServing
+			s.deps.Telemetry.Log.Debug("backend server updated", "server", m.Name, "standing", m.State, "from", from)
+		}
+	}
+}
+
 // mergeWithdrawals marks the servers as leaving that a control instance reports as withdrawn.
 func (s *Subscriber) mergeWithdrawals(list []registrar.Withdrawal, from string) {
 	for _, w := range list {
