--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -35,13 +35,16 @@
 
 // callers send requests and keep what came of them.
 type callers struct {
-	f        *fleet
+	f *fleet
+	// kept, if it is set, keeps connections for further requests; otherwise each request has a connection of its own.
+	kept *http.Transport
+
 	mu       sync.Mutex
 	attempts []attempt
 	wg       sync.WaitGroup
 }
 
-// send sends one request on a connection of its own and waits for its answer for the given time at most.
+// send sends one request and waits for its answer for the given time at most.
 func (c *callers) send(m *machine, method, path, body string, wait time.Duration, header map[string]string) attempt {
 	a := attempt{id: newID(), path: path, entry: m.name, sentAt: time.Now()}
 	r, err := http.NewRequest(method, "http://"+c.f.callersAt(m)+path, strings.NewReader(body))
@@ -55,7 +58,10 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Timeout: wait, Transport: c.kept}
+	if c.kept == nil {
+		client.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	}
 	res, err := client.Do(r)
 	if err == nil {
 		var text []byte
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,7 +21,7 @@
 
 func main() {
 	cases := map[string]func(*fleet, bool) (verdict, error){
-		"parts": playParts, "drip": playDrip, "heads": playHeads, "joined": playJoined, "seal": playSeal,
+		"parts": playParts, "drip": playDrip, "heads": playHeads, "joined": playJoined, "tail": playTail,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER, in the root of the repository")
