Failing tests: crowds of heads at every address of every process

internal/crowder starts an entry, a control and a whole instance and lets crowds come to each of their ten addresses: fields, one field, a request line, folded lines, blank lines, bare newlines, chunk extensions, trailers and tiny chunks without end, heads of many short fields (60 KB, and 16 KB as the policy allows) or one long one that stop, the start of a second request behind a first one, heads that stop half-way, heads and bodies of which a byte comes now and then, and crowds at all addresses at the same time. After each crowd the address must answer an ordinary request, and the process must live within its memory and descriptors.

--- a/internal/crowder/fleet_test.go
+++ b/internal/crowder/fleet_test.go
@@ -51,6 +51,21 @@
 	callersAddr    string
 	readyAddr      string
 	backend        *httptest.Server
+	binary         string
+	// files is the limit on the descriptors of the processes.
+	files int
+	// The rest is empty unless the options ask for all addresses.
+	linksAddr, tunnelsAddr       string
+	controlMetrics, entryMetrics string
+}
+
+// options are what a fleet differs in.
+type options struct {
+	// files is the limit on the descriptors of the processes, and settings stand at the end of their settings.
+	files    int
+	settings string
+	// addresses is true if the instances have all addresses that an instance may have.
+	addresses bool
 }
 
 // process is a process of the program.
@@ -75,6 +90,11 @@
 
 // newFleet starts the processes; few descriptors are enough to run out of them with a small crowd.
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, options{files: maxFiles})
+}
+
+func newFleetWith(t *testing.T, o options) *fleet {
 	t.Helper()
 	if os.Getenv("CROWDS") == "" {
 		t.Skip("CROWDS=1 runs the crowds, one at a time and apart from other load")
@@ -83,34 +103,41 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, backend: httptest.NewServer(http.HandlerFunc(serveBackend))}
+	f := &fleet{t: t, binary: binary, files: o.files, backend: httptest.NewServer(http.HandlerFunc(serveBackend))}
 	t.Cleanup(f.backend.Close)
-	ports, err := reserver.ReservePorts(4)
+	ports, err := reserver.ReservePorts(6)
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := func(host, n int) string { return fmt.Sprintf("127.0.0.%d:%d", host, ports[n]) }
 	f.controlAddr, f.callersAddr, f.readyAddr = address(1, 0), address(1, 2), address(1, 3)
+	f.linksAddr = address(1, 1)
+	controlListen, entryListen := "", ""
+	if o.addresses {
+		f.tunnelsAddr, f.controlMetrics, f.entryMetrics = address(2, 4), address(1, 5), address(2, 5)
+		controlListen = "metrics = " + f.controlMetrics + "\n"
+		entryListen = "metrics = " + f.entryMetrics + "\ntunnels = " + f.tunnelsAddr + "\n"
+	}
 	common := "[instance]\nname = %s\ndata-centre = a\nrole = %s\n[peers]\nseeds = " + f.controlAddr + "\n[log]\nlevel = warn\n"
 	folder := t.TempDir()
-	f.control = f.start(binary, "control", fmt.Sprintf(common, "c1", "control")+"[listen]\ncontrol = "+f.controlAddr+"\nlinks = "+address(1, 1)+
-		"\n[record]\nlosses = 0\nfound = yes\n[data]\nfolder = "+folder+"\n[servers]\nsilence = 1m\n")
-	f.entry = f.start(binary, "entry", fmt.Sprintf(common, "e1", "entry")+"[listen]\ncallers = "+f.callersAddr+"\nready = "+f.readyAddr+
-		"\nlinks = "+address(2, 1)+"\n")
+	f.control = f.start("control", fmt.Sprintf(common, "c1", "control")+"[listen]\ncontrol = "+f.controlAddr+"\nlinks = "+f.linksAddr+
+		"\n"+controlListen+"[record]\nlosses = 0\nfound = yes\n[data]\nfolder = "+folder+"\n[servers]\nsilence = 1m\n"+o.settings)
+	f.entry = f.start("entry", fmt.Sprintf(common, "e1", "entry")+"[listen]\ncallers = "+f.callersAddr+"\nready = "+f.readyAddr+
+		"\nlinks = "+address(2, 1)+"\n"+entryListen+o.settings)
 	f.publish()
 	f.expectOrdinary()
 	return f
 }
 
 // start starts a process with the garbage collector's setting of the deploy file and few descriptors.
-func (f *fleet) start(binary, name, settings string) *process {
+func (f *fleet) start(name, settings string) *process {
 	f.t.Helper()
 	path := filepath.Join(f.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	p := &process{exited: make(chan struct{})}
-	p.cmd = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" serve --settings "$3"`, "sh", strconv.Itoa(maxFiles), binary, path)
+	p.cmd = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" serve --settings "$3"`, "sh", strconv.Itoa(f.files), f.binary, path)
 	p.cmd.Env = append(os.Environ(), "GOGC=30")
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	if err := p.cmd.Start(); err != nil {
@@ -209,36 +236,38 @@
 // check fails the test unless both processes live and have stayed within the memory and descriptors of their machines.
 func (f *fleet) check() {
 	f.t.Helper()
-	for name, p := range map[string]struct {
-		*process
-		memory int
-	}{"entry": {f.entry, entryMemory}, "control": {f.control, controlMemory}} {
-		select {
-		case <-p.exited:
-			f.t.Errorf("the %s instance has ended", name)
-			continue
-		default:
-		}
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		peak := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
-		if peak == nil {
-			f.t.Fatalf("no peak of the memory in %s", status)
-		}
-		kib, _ := strconv.Atoi(string(peak[1]))
-		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.t.Logf("%s instance: peak of %d MB, %d descriptors", name, kib>>10, len(files))
-		if kib<<10 > p.memory {
-			f.t.Errorf("the %s instance took %d MB at its peak, its machine has %d", name, kib>>10, p.memory>>20)
-		}
-		if len(files) >= maxFiles {
-			f.t.Errorf("the %s instance has %d descriptors open, all that it may have", name, len(files))
-		}
+	f.checkProcess("the entry instance", f.entry, entryMemory, f.files)
+	f.checkProcess("the control instance", f.control, controlMemory, f.files)
+}
+
+// checkProcess fails the test unless a process lives and has stayed within the given bytes and descriptors.
+func (f *fleet) checkProcess(name string, p *process, memory, maxFiles int) {
+	f.t.Helper()
+	select {
+	case <-p.exited:
+		f.t.Errorf("%s has ended", name)
+		return
+	default:
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	peak := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
+	if peak == nil {
+		f.t.Fatalf("no peak of the memory in %s", status)
+	}
+	kib, _ := strconv.Atoi(string(peak[1]))
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Logf("%s: peak of %d MB, %d descriptors", name, kib>>10, len(files))
+	if kib<<10 > memory {
+		f.t.Errorf("%s took %d MB at its peak, its machine has %d", name, kib>>10, memory>>20)
+	}
+	if len(files) >= maxFiles {
+		f.t.Errorf("%s has %d descriptors open, all that it may have", name, len(files))
 	}
 }
 
@@ -266,15 +295,16 @@
 // send lets every connection of a crowd run, and returns once each has sent what it sends or was closed. The connections stay open
 // until the test ends.
 func (f *fleet) send(address string, connections int, run func(n int, conn net.Conn)) {
+	f.t.Helper()
+	f.t.Cleanup(f.come(address, connections, run))
+}
+
+// come does the same; leave closes the connections.
+func (f *fleet) come(address string, connections int, run func(n int, conn net.Conn)) (leave func()) {
 	f.t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
-	f.t.Cleanup(func() {
-		for _, conn := range open {
-			_ = conn.Close()
-		}
-	})
 	for n := range connections {
 		wg.Go(func() {
 			conn, err := net.DialTimeout("tcp", address, 10*time.Second)
@@ -290,4 +320,9 @@
 		})
 	}
 	wg.Wait()
+	return func() {
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	}
 }
