Limiter: a request that comes a byte now and then is late

Cause: a connection gives way when it makes no progress for a second, and a byte was progress. Of those that may give way, the one that was silent last stayed, whatever it held.

Change: a request is late if less than limits.slow-rate (1 KiB a second) has come after limits.slow-after (3 s), or nothing for a second as before. When connections or memory are used up, late requests give way first, the one that has taken the longest before others, and idle connections after them. Nothing happens to a slow request while there is room.

Why it works: a caller of the crowd is late after 3 s, and an ordinary one is served long before.

TestSlowRequestsGiveWayFirst is new.

Ruled out: a time limit on whole bodies (cuts slow but steady ones); shutting the door while all arrive at a fair rate is as before.

--- a/internal/launcher/listeners.go
+++ b/internal/launcher/listeners.go
@@ -71,8 +71,13 @@
 
 // newGuard returns the guard of a process; name tells in metrics and logs what its budget is for.
 func newGuard(telemetry observer.Telemetry, name string, limits configurer.Limits) guard {
-	pace := limiter.Pace{}
-	return guard{telemetry: telemetry, limits: limits, budget: limiter.NewBudget(telemetry.Clock, int64(limits.MaxHeld), pace, limiter.NewPressure(telemetry, name))}
+	pressure := limiter.NewPressure(telemetry, name)
+	return guard{telemetry: telemetry, limits: limits, budget: limiter.NewBudget(telemetry.Clock, int64(limits.MaxHeld), paceOf(limits), pressure)}
+}
+
+// paceOf returns how slowly requests may arrive before they give way.
+func paceOf(limits configurer.Limits) limiter.Pace {
+	return limiter.Pace{Grace: limits.SlowAfter, Rate: int64(limits.SlowRate)}
 }
 
 // reader returns the reader of request bodies.
@@ -84,7 +89,7 @@
 // logs where they came.
 func (g guard) watch(l *listener, name string, max, descriptorShare int) {
 	l.socket = limiter.NewListener(l.socket, g.telemetry.Clock, limiter.Bounds{
-		MaxConns: max, DescriptorShare: descriptorShare, Stall: g.limits.CallerStall, Budget: g.budget,
+		MaxConns: max, DescriptorShare: descriptorShare, Stall: g.limits.CallerStall, Budget: g.budget, Pace: paceOf(g.limits),
 	}, limiter.NewPressure(g.telemetry, name))
 	l.isGuarded = true
 }
--- a/internal/launcher/roles_test.go
+++ b/internal/launcher/roles_test.go
@@ -60,6 +60,7 @@
 	base.Limits.HeaderWait, base.Limits.MaxHeader = timer.Second, 64<<10
 	base.Limits.MaxAnswer, base.Limits.MaxEvent = 1<<20, 64<<10
 	base.Limits.MaxHeld, base.Limits.MaxConns, base.Limits.MaxLinks, base.Limits.BodyWait = 32<<20, 1000, 1000, 10*timer.Second
+	base.Limits.SlowAfter, base.Limits.SlowRate = 3*timer.Second, 1<<10
 	base.Answers = configurer.Answers{MaxHead: 64 << 10, HeadTimeout: timer.Second, MaxSkipped: 1 << 20, MaxBuffered: 4 << 20, MinRate: 1 << 10, Grace: timer.Second}
 	base.Session.Span, base.Stop.Limit = 5*timer.Second, 2*timer.Second
 	base.Retries.Share, base.Retries.Slack, base.Retries.Window = 0.5, 3, 10*timer.Second
--- a/internal/limiter/fuzz_test.go
+++ b/internal/limiter/fuzz_test.go
@@ -21,7 +21,7 @@
 		f.Add([]byte(seed))
 	}
 	telemetry := observer.NewDiscard(timer.NewSystemClock())
-	pace := Pace{}
+	pace := Pace{Grace: 20, Rate: 1 << 10}
 	rd := Reader{Budget: NewBudget(telemetry.Clock, 256<<10, pace, NewPressure(telemetry, "fuzz")), Wait: 20}
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -211,6 +212,47 @@
 	_ = res.Body.Close()
 }
 
+// Load: all connections are taken by callers that send a byte now and then. Guards against new callers that are kept out by them, against
+// idle connections that give way in their place, and against slow callers that give way though they send what a slow line carries.
+func TestSlowRequestsGiveWayFirst(t *testing.T) {
+	const grace = 3 * timer.Second
+	type caller struct {
+		startedAt, progressAt timer.Millis
+		bytes                 int64
+	}
+	now := timer.Hour
+	tests := map[string]struct {
+		callers []caller
+		want    int
+	}{
+		"all have just begun":            {[]caller{{now - grace, now, 1}, {now - grace, now, 1}}, -1},
+		"one sends a byte now and then":  {[]caller{{now - grace, now, 1}, {now - 2*grace, now, 10}}, 1},
+		"the one that has taken longest": {[]caller{{now - 3*grace, now, 10}, {now - 4*grace, now, 10}, {now - 2*grace, now - stallTime, 1}}, 1},
+		"slow lines":                     {[]caller{{now - 10*grace, now, 60 << 10}, {now - 2*grace, now, 6 << 10}}, -1},
+		"an idle connection":             {[]caller{{0, now - 20*grace, 0}, {now - grace, now, 1}}, 0},
+		"an idle one stays longer":       {[]caller{{0, now - 20*grace, 0}, {now - 2*grace, now, 10}}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := timer.NewManualClock(now)
+			l := &Listener{clock: clock.Clock(), bounds: Bounds{Pace: Pace{Grace: grace, Rate: 1 << 10}}, conns: map[*Conn]bool{}}
+			var list []*Conn
+			for _, c := range tt.callers {
+				conn := newConn(nil, l)
+				conn.progressAt.Store(int64(c.progressAt))
+				if c.startedAt != 0 {
+					conn.request = arrival{startedAt: c.startedAt, progressAt: c.progressAt, bytes: c.bytes}
+				}
+				l.conns[conn] = true
+				list = append(list, conn)
+			}
+			if got := slices.Index(list, l.latest()); got != tt.want {
+				t.Errorf("caller %d gives way, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 func (l *Listener) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -3,7 +3,11 @@
 import "github.com/eelgrasshook/eelgrasshook/pkg/timer"
 
 // Pace is how slowly a request may arrive before it has to give way to others.
-type Pace struct{}
+type Pace struct {
+	// Grace is the time that every request has, and Rate the bytes per second that have to come after it.
+	Grace timer.Millis
+	Rate  int64
+}
 
 // arrival is what has come of a request so far.
 type arrival struct {
@@ -11,7 +15,10 @@
 	bytes                 int64
 }
 
-// isLate reports whether nothing has come for stallTime.
+// isLate reports whether nothing has come for stallTime, or less than a caller with a slow connection would have sent.
 func (p Pace) isLate(a arrival, now timer.Millis) bool {
-	return now-a.progressAt >= stallTime
+	if now-a.progressAt >= stallTime {
+		return true
+	}
+	return p.Rate > 0 && now-a.startedAt > p.Grace+timer.Millis(a.bytes*int64(timer.Second)/p.Rate)
 }
