Limiter: a connection that was taken over is left to its owner

Seen by reading: put limiter.Conn below links and tunnels. Its Write set the deadline of callers (30 s) over that of a link (2.5 s), and the relaying instance found no TCPConn to set its keep-alive probes on.

Change: once a connection is taken over, reads and writes go through as they are; SetKeepAliveConfig reaches the socket.

Evidence: TestTakenConnectionIsLeftToItsOwner fails without it ("the deadline of the owner does not hold").

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -37,8 +37,9 @@
 	// served is the number of requests that were read, and retiring is true if no further one is to follow.
 	served   atomic.Int64
 	retiring atomic.Bool
-	// isRefused is true once the head of a request was refused.
-	isRefused atomic.Bool
+	// isRefused is true once the head of a request was refused, isTaken once the connection speaks another protocol: whoever took it
+	// over bounds its times.
+	isRefused, isTaken atomic.Bool
 	// mu guards the fields below.
 	mu sync.Mutex
 	// request is the request that is being read, with a startedAt of 0 between two requests.
@@ -46,8 +47,6 @@
 	head    headEnd
 	// isOpen is true once the head of the request was read. From then on its handler accounts for it.
 	isOpen bool
-	// isTaken is true once the connection speaks another protocol.
-	isTaken bool
 	// bodyLength is that of the open request, -1 if it is not known.
 	bodyLength int64
 	// lastBytes and lastLines are the size of what was read last.
@@ -84,7 +83,7 @@
 func (c *Conn) claim(now timer.Millis) claim {
 	progressAt := timer.Millis(c.progressAt.Load())
 	isWriting := c.writing.Load()
-	if c.serving.Load() && !isWriting {
+	if c.isTaken.Load() || c.serving.Load() && !isWriting {
 		return claim{}
 	}
 	c.mu.Lock()
@@ -92,7 +91,7 @@
 	switch {
 	case isWriting:
 		return claim{mayGiveWay: now-progressAt >= stallTime, isLate: true, since: progressAt}
-	case c.request.startedAt != 0 && !c.isTaken:
+	case c.request.startedAt != 0:
 		return claim{mayGiveWay: c.listener.bounds.Pace.isLate(c.request, now), isLate: true, since: c.request.startedAt}
 	}
 	return claim{mayGiveWay: now-progressAt >= stallTime, since: progressAt}
@@ -104,7 +103,7 @@
 		return 0, refusedError(ErrExhausted)
 	}
 	n, err := c.Conn.Read(b)
-	if n == 0 {
+	if n == 0 || c.isTaken.Load() {
 		return n, err
 	}
 	c.progressAt.Store(int64(c.listener.clock.Now()))
@@ -129,9 +128,6 @@
 func (c *Conn) record(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isTaken {
-		return nil
-	}
 	now := c.listener.clock.Now()
 	if c.request.startedAt == 0 {
 		c.request.startedAt = now
@@ -205,8 +201,7 @@
 func (c *Conn) take() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isTaken = true
-	c.serving.Store(true)
+	c.isTaken.Store(true)
 	if c.lease != nil {
 		c.lease.Close()
 	}
@@ -214,6 +209,9 @@
 
 // Write sends a part of an answer. It fails when the caller leaves a piece of it unread for too long.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.isTaken.Load() {
+		return c.Conn.Write(b)
+	}
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	written := 0
@@ -231,6 +229,16 @@
 	}
 }
 
+// SetKeepAliveConfig sets when the connection is probed.
+func (c *Conn) SetKeepAliveConfig(cfg net.KeepAliveConfig) error {
+	if prober, ok := c.Conn.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		return prober.SetKeepAliveConfig(cfg)
+	}
+	return nil
+}
+
 // CloseWrite ends the answer without a reset, which would drop the part that the caller has not read yet.
 func (c *Conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/limiter/conn_test.go
+++ b/internal/limiter/conn_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +79,49 @@
 		})
 	}
 }
+
+// Load: a peer that leaves what it is sent unread, on a connection that was taken over. Guards against deadlines of its new owner that
+// do not hold, and against a connection that gives way while it is silent.
+func TestTakenConnectionIsLeftToItsOwner(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := timer.NewManualClock(1_000_000)
+	telemetry := observer.NewDiscard(clock.Clock())
+	l := NewListener(raw, telemetry.Clock, Bounds{MaxConns: 4, Stall: timer.Hour}, NewPressure(telemetry, "test"))
+	failed := make(chan error, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			failed <- err
+			return
+		}
+		clock.Advance(timer.Hour)
+		if l.latest() != nil {
+			t.Error("the connection may give way")
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		for err == nil {
+			_, err = conn.Write(make([]byte, writePiece))
+		}
+		failed <- err
+	})}
+	Attach(server)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	select {
+	case err := <-failed:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the deadline of the owner does not hold")
+	}
+}
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -139,8 +139,10 @@
 		return nil, err
 	}
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: peerTimeout, Interval: peerTimeout / peerProbes, Count: peerProbes}
-	if tcp, ok := peer.(*net.TCPConn); ok {
-		err = tcp.SetKeepAliveConfig(keepAlive)
+	if prober, ok := peer.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		err = prober.SetKeepAliveConfig(keepAlive)
 	}
 	t := &tunnel{address: r.Host, server: server, peer: peer, fromPeer: buffered.Reader}
 	if err := errors.Join(err, peer.SetDeadline(time.Time{}), t.accept()); err != nil {
