Own interface: bodies are read within the memory of the process

Callers saw: nothing until the process was over its memory: 150 bodies of 4 MiB that stop one byte short took 874 MB of a whole instance whose bound is 72, and ordinary callers waited for up to 30 s behind a crowd that drips.

Cause: receiver and administrator read bodies on their own, each with a limit and none together, and ServeWhole marked a request as served from its head on, so its connection never gave way while its body came. The same fault as on the platform's path, whose reader they now use.

Change: receiver and administrator read through limiter.Reader and mark a request as served once its body is whole; ServeWhole is gone. A connection that is to end does so on every path (limiter.Attach), not on the platform's alone. New refusal body-too-slow (408); a body that finds no memory gets overloaded (503).

Evidence: TestCrowdWhoseBodiesStopShortOverTheOwnInterface, new here and red before (874 MB), is green; ...BodiesDripOverTheOwnInterface held before too, after 30 s.

Tests: TestBusyConnectionEndsWithItsAnswer leaves the header to Attach; the check is the same.

--- a/internal/administrator/handler.go
+++ b/internal/administrator/handler.go
@@ -1,6 +1,7 @@
 package administrator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"github.com/eelgrasshook/eelgrasshook/internal/biller"
 	"github.com/eelgrasshook/eelgrasshook/internal/changer"
 	"github.com/eelgrasshook/eelgrasshook/internal/explainer"
+	"github.com/eelgrasshook/eelgrasshook/internal/limiter"
 	"github.com/eelgrasshook/eelgrasshook/internal/messenger"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/internal/registrar"
@@ -27,7 +29,9 @@
 
 // Deps holds the dependencies of the control API. Each function field serves one endpoint.
 type Deps struct {
-	Telemetry    observer.Telemetry
+	Telemetry observer.Telemetry
+	// Reader reads the bodies of requests within the memory of the process.
+	Reader       limiter.Reader
 	Announce     func(context.Context, registrar.Announcement) (registrar.Outcome, error)
 	SubmitChange func(context.Context, changer.Change) (changer.Accepted, error)
 	// Links accepts links from other instances; nil when links have a separate listen address.
@@ -82,9 +86,18 @@
 
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.mux.ServeHTTP(w, r)
+	lease, err := h.deps.Reader.Open(r)
+	if err != nil {
+		limiter.Refuse(w, err)
+		return
+	}
+	defer lease.Close()
+	h.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), leaseKey{}, lease)))
 }
 
+// leaseKey is the key of what a request holds in its context.
+type leaseKey struct{}
+
 // AnnouncementAnswer is the answer to an announcement of a backend server.
 type AnnouncementAnswer struct {
 	Outcome registrar.Outcome `json:"outcome"`
@@ -285,7 +298,15 @@
 }
 
 func (h *Handler) decodeBody(w http.ResponseWriter, r *http.Request, into any) error {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	lease, _ := r.Context().Value(leaseKey{}).(*limiter.Lease)
+	body, err := h.deps.Reader.ReadBody(w, r, lease, maxBodyBytes)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return err
+	}
+	// The request is served until the handler returns.
+	limiter.Serving(r.Context())
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	return d.Decode(into)
 }
--- a/internal/crowder/heads_test.go
+++ b/internal/crowder/heads_test.go
@@ -164,3 +164,22 @@
 func TestCrowdWhoseBodiesDrip(t *testing.T) {
 	testDrip(t, fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\nContent-Length: %d\r\n\r\n", legalHead))
 }
+
+// bookingHead is the head of an order over our own interface, with a good key; the length of the body follows.
+const bookingHead = "POST /services/coat-desk/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-adoption-app\r\nIdempotency-Key: k\r\nContent-Length: "
+
+func TestCrowdWhoseBodiesDripOverTheOwnInterface(t *testing.T) {
+	tn := newTown(t, maxFiles)
+	d := tn.doors["callers of the own interface"]
+	leave := drip(d.address, fmt.Sprint(bookingHead, legalHead, "\r\n\r\n"))
+	defer leave()
+	time.Sleep(4 * time.Second)
+	tn.expect(d)
+}
+
+func TestCrowdWhoseBodiesStopShortOverTheOwnInterface(t *testing.T) {
+	tn := newTown(t, maxFiles)
+	d := tn.doors["callers of the own interface"]
+	tn.send(d.address, crowd, say(fmt.Sprint(bookingHead, maxBody, "\r\n\r\n")+strings.Repeat("x", maxBody-1)))
+	tn.expect(d)
+}
--- a/internal/launcher/listeners.go
+++ b/internal/launcher/listeners.go
@@ -174,14 +174,15 @@
 
 func (i *Instance) buildHandlers() error {
 	s := i.settings
-	i.callers.server.Handler = limiter.ServeWhole(receiver.NewHandler(receiver.Deps{
+	i.callers.server.Handler = receiver.NewHandler(receiver.Deps{
 		Telemetry:      i.telemetry,
+		Reader:         i.guard.reader(),
 		Limits:         receiver.Limits{MaxBodyBytes: int64(s.Limits.MaxBody), MaxDuration: s.Limits.Deadline, CallerStallTimeout: s.Limits.CallerStall},
 		ViewSet:        i.controller.ViewSet,
 		Serve:          i.router.Serve,
 		CheckReady:     i.checkReady,
 		CheckAccepting: i.checkAccepting,
-	}))
+	})
 	i.control.server.Handler = i.newAdministrator()
 	if i.links != nil {
 		i.links.server.Handler = i.coordinator.Mesh()
@@ -202,6 +203,7 @@
 func (i *Instance) newAdministrator() *administrator.Handler {
 	return administrator.NewHandler(administrator.Deps{
 		Telemetry:        i.telemetry,
+		Reader:           i.guard.reader(),
 		Links:            i.linkHandlerAtControl(),
 		Announce:         i.coordinator.Announce,
 		SubmitChange:     i.coordinator.Change,
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -174,12 +174,10 @@
 	}
 	telemetry := observer.NewDiscard(timer.NewManualClock(1_000_000).Clock())
 	l := NewListener(raw, telemetry.Clock, Bounds{MaxConns: most}, NewPressure(telemetry, "test"))
-	server := &httptest.Server{Listener: l, Config: &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		defer Serving(r.Context())()
-		if IsRetiring(r.Context()) {
-			w.Header().Set("Connection", "close")
-		}
 	})}}
+	Attach(server.Config)
 	server.Start()
 	defer server.Close()
 	var busy []*http.Client
--- a/internal/limiter/serving.go
+++ b/internal/limiter/serving.go
@@ -39,6 +39,9 @@
 			Refuse(w, err)
 			return
 		}
+		if c.retiring.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 {
 			Serving(r.Context())
 		}
@@ -77,14 +80,6 @@
 	return context.WithValue(ctx, connKey{}, plain)
 }
 
-// ServeWhole returns a handler whose requests count as served from their head on: it reads their bodies itself.
-func ServeWhole(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer Serving(r.Context())()
-		h.ServeHTTP(w, r)
-	})
-}
-
 // Serving records that the request of a context was read completely and is served until done is called, or its handler returns.
 func Serving(ctx context.Context) (done func()) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
@@ -99,12 +94,6 @@
 	return func() { c.serving.Store(false) }
 }
 
-// IsRetiring reports whether the connection of a context should end with the answer.
-func IsRetiring(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	return ok && c.retiring.Load()
-}
-
 // CloseConn closes the connection that the request of a context came on.
 func CloseConn(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(net.Conn); ok {
--- a/internal/receiver/handler.go
+++ b/internal/receiver/handler.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/tidwall/gjson"
@@ -15,6 +13,7 @@
 	"goji.io/pat"
 
 	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
+	"github.com/eelgrasshook/eelgrasshook/internal/limiter"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -25,8 +24,7 @@
 	MaxBodyBytes int64
 	// MaxDuration is the default and the longest time that a request may take, in milliseconds.
 	MaxDuration timer.Millis
-	// CallerStallTimeout is how long reading the body or writing a part of the answer may block on the caller, in
-	// milliseconds.
+	// CallerStallTimeout is how long writing a part of the answer may block on the caller, in milliseconds.
 	CallerStallTimeout timer.Millis
 }
 
@@ -34,6 +32,8 @@
 type Deps struct {
 	Telemetry observer.Telemetry
 	Limits    Limits
+	// Reader reads the bodies of requests within the memory of the process.
+	Reader limiter.Reader
 	// ViewSet returns the current views of all environments.
 	ViewSet func() *indexer.ViewSet
 	// Serve processes a validated request and writes its answer.
@@ -77,8 +77,15 @@
 		id := uuid.NewString()
 		w.Header().Set(HeaderRequestID, id)
 		reply := NewReply(w, h.deps.Limits.CallerStallTimeout)
-		req, err := h.readRequest(w, r, id, read)
+		lease, err := h.deps.Reader.Open(r)
+		if err != nil {
+			h.writeRefusal(reply, id, bodyRefusal(err))
+			return
+		}
+		defer lease.Close()
+		req, err := h.readRequest(w, r, id, lease, read)
 		if err == nil {
+			defer limiter.Serving(r.Context())()
 			err = h.deps.Serve(r.Context(), req, reply)
 		}
 		if err != nil {
@@ -87,7 +94,7 @@
 	}
 }
 
-func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, id string, read requestReader) (*Request, error) {
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, id string, lease *limiter.Lease, read requestReader) (*Request, error) {
 	if err := h.deps.CheckAccepting(); err != nil {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Type: "not-ready", Message: err.Error(), Ran: RanNo, RetryAfterSeconds: 1}
 	}
@@ -104,9 +111,12 @@
 	if err := h.readHeaders(r, req); err != nil {
 		return nil, err
 	}
-	if err := h.readBody(w, r, req); err != nil {
-		return nil, err
+	body, err := h.deps.Reader.ReadBody(w, r, lease, h.deps.Limits.MaxBodyBytes)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, bodyRefusal(err)
 	}
+	req.Body = body
 	if err := read(r, view, req); err != nil {
 		return nil, err
 	}
@@ -140,22 +150,18 @@
 	return nil
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, req *Request) error {
-	rc := http.NewResponseController(w)
-	// Writers without deadline support, such as those in tests, return an error that does not matter.
-	_ = rc.SetReadDeadline(time.Now().Add(h.deps.Limits.CallerStallTimeout.Duration()))
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.deps.Limits.MaxBodyBytes))
+// bodyRefusal returns the refusal of a request that could not be read.
+func bodyRefusal(err error) *Refusal {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		message := "the body has more than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
-		return NewRefusal(http.StatusRequestEntityTooLarge, "body-too-large", message)
-	}
-	if err != nil {
-		return NewRefusal(http.StatusBadRequest, "unreadable-body", err.Error())
-	}
-	req.Body = body
-	return nil
+	switch {
+	case errors.As(err, &tooLarge):
+		return NewRefusal(http.StatusRequestEntityTooLarge, "body-too-large", "the body has more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	case errors.Is(err, limiter.ErrTooSlow):
+		return NewRefusal(http.StatusRequestTimeout, "body-too-slow", err.Error())
+	case errors.Is(err, limiter.ErrExhausted):
+		return &Refusal{Status: http.StatusServiceUnavailable, Type: "overloaded", Message: err.Error(), Ran: RanNo, RetryAfterSeconds: 1}
+	}
+	return NewRefusal(http.StatusBadRequest, "unreadable-body", err.Error())
 }
 
 func (h *Handler) readChat(_ *http.Request, view *indexer.View, req *Request) error {
