--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -116,6 +116,50 @@
 }
 
 // Guards against an instance that connects to any address, hides why it does not reach a server, or takes tunnels that it
+// Load: a server that answers a long upload at once and ends its connection in the middle of it, again and again. Guards against a reset
+// that the writer of the upload is told of alone, so that the answer seems to end regularly.
+func TestEndOfTunnelDuringAnUpload(t *testing.T) {
+	const text, rounds = "an answer that ends with its connection", 40
+	tests := map[string]struct {
+		end  func(server net.Conn)
+		want error
+	}{
+		"the server resets": {func(server net.Conn) { reset(server) }, errServerReset},
+		"the server closes": {func(server net.Conn) {
+			_ = server.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, server)
+		}, io.EOF},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := listen(t, func(conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+				_, _ = io.WriteString(conn, text)
+				time.Sleep(20 * time.Millisecond)
+				tt.end(conn)
+			})
+			_, gateway := startGateway(t, server)
+			for range rounds {
+				c, err := Dial(t.Context(), dialTCP, gateway, server)
+				if err != nil {
+					t.Fatal(err)
+				}
+				go func() { _, _ = c.Write(make([]byte, 4<<20)) }()
+				_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+				got, err := io.ReadAll(c)
+				_ = c.Close()
+				if err == nil {
+					err = io.EOF
+				}
+				if string(got) != text || !errors.Is(err, tt.want) {
+					t.Fatalf("got %q, %v, want %v", got, err, tt.want)
+				}
+			}
+		})
+	}
+}
+
 // cannot serve.
 func TestGatewayRefusals(t *testing.T) {
 	down, err := net.Listen("tcp", "127.0.0.1:0")
