Dispatcher: an answer that is reset during the upload is incomplete

Callers saw, over the own interface: a part of an answer as a whole one, where a server answers a long upload at once without a length and resets the connection.

Cause: as in the tunnel. The transport of net/http writes a request in one goroutine and reads its answer in another one; whoever is told of the reset first, the other sees a regular end.

Change: what the tunnel did by itself is internal/detector now: a connection whose reads end with io.EOF only if the other end has closed it regularly. The tunnel and the dispatcher use it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/detector"
 	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -91,7 +92,7 @@
 func NewDispatcher(stallTimeout timer.Millis) *Dispatcher {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialWith(dialer),
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
@@ -118,6 +119,17 @@
 	return conn.Close() != nil
 }
 
+// dialWith returns a function that opens connections with a dialer. The transport writes a request while it reads the answer.
+func dialWith(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return detector.NewConn(conn), nil
+	}
+}
+
 // Close closes the idle connections.
 func (d *Dispatcher) Close() {
 	d.pooled.CloseIdleConnections()
--- a/internal/tunneler/handler.go
+++ b/internal/tunneler/handler.go
@@ -6,13 +6,13 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/detector"
 	"github.com/eelgrasshook/eelgrasshook/internal/observer"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -145,7 +145,7 @@
 	}); ok {
 		err = prober.SetKeepAliveConfig(keepAlive)
 	}
-	t := &tunnel{address: r.Host, server: server, peer: peer, fromPeer: buffered.Reader}
+	t := &tunnel{address: r.Host, server: detector.NewConn(server), peer: peer, fromPeer: buffered.Reader}
 	if err := errors.Join(err, peer.SetDeadline(time.Time{}), t.accept()); err != nil {
 		t.close()
 		return nil, err
@@ -192,15 +192,13 @@
 // tunnel copies bytes between the connection to a server and that to another instance.
 type tunnel struct {
 	// address is that of the server.
-	address      string
-	server, peer net.Conn
+	address string
+	server  *detector.Conn
+	peer    net.Conn
 	// fromPeer reads from peer and what net/http had read ahead.
 	fromPeer io.Reader
 	// mu keeps frames apart.
 	mu sync.Mutex
-	// writing is held while something is written to the server, and writeErr is the error of that.
-	writing  sync.Mutex
-	writeErr error
 }
 
 // accept tells the other instance that the connection to the server is open.
@@ -238,47 +236,13 @@
 // runUpstream copies to the server. The other instance closes its connection to end an exchange, which must end the
 // server's work at once.
 func (t *tunnel) runUpstream() {
-	_, _ = io.Copy(upstream{t}, t.fromPeer)
-	if t.lastWriteError() == nil {
+	_, _ = io.Copy(t.server, t.fromPeer)
+	if t.server.WriteError() == nil {
 		t.close()
 	}
 	// Otherwise the server may have answered before its connection ended.
 }
 
-// upstream is the way to the server.
-type upstream struct {
-	t *tunnel
-}
-
-// Write writes to the server.
-func (u upstream) Write(p []byte) (int, error) {
-	u.t.writing.Lock()
-	defer u.t.writing.Unlock()
-	n, err := u.t.server.Write(p)
-	if err != nil {
-		u.t.writeErr = err
-	}
-	return n, err
-}
-
-// lastWriteError returns the error of what was written to the server.
-func (t *tunnel) lastWriteError() error {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	return t.writeErr
-}
-
-// wasReset reports whether the connection to the server, of which no more can be read, broke. The system tells of a reset once, and the
-// writer may have been the one that was told. It ends what is being written.
-func (t *tunnel) wasReset() bool {
-	if t.server.SetWriteDeadline(time.Unix(1, 0)) != nil {
-		return true
-	}
-	err := t.lastWriteError()
-	// After a regular end, the server refuses what is still written to it.
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // runDownstream copies what the server sends, in frames.
 func (t *tunnel) runDownstream() {
 	b := make([]byte, frameHeaderBytes+maxFrameData)
@@ -298,7 +262,7 @@
 			return
 		}
 		last := frameReset
-		if err == io.EOF && !t.wasReset() {
+		if err == io.EOF {
 			last = frameEnd
 		}
 		putHeader(b, last, 0)
