Exchanger: a status outside of 100 to 599 is no answer

Callers saw: for 000, 001 and 099 a 504 after their whole time limit, and no second attempt where one is allowed: the answer was skipped as an informational one and its body read as the next head. 600 and 999 were passed on as they are.

Cause: every status below 200 counted as informational, and none above 599 was looked at.

Change: such an answer is ErrNoStatus at once: a request that may be repeated goes elsewhere, others get 502, since it may have run. The parser of answers of relaying instances needs no change: it takes 200 and 502 alone for what they are.

Evidence: TestStatusThatIsNoneIsNoResponse, five statuses, red before ("malformed HTTP response" for the body, no error for 600 and 999).

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -21,6 +21,8 @@
 	readBufferSize = 2048
 	// maxForeignResponses is the number of responses to other requests that are skipped on a connection.
 	maxForeignResponses = 2
+	// statusEnd is the first number behind those that a status can have.
+	statusEnd = 600
 )
 
 // Request is a request as it is written to a connection.
@@ -191,6 +193,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case res.StatusCode < http.StatusContinue || res.StatusCode >= statusEnd:
+			return nil, ErrNoStatus
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrSwitched
 		case hasTwoHeads(res):
--- a/internal/exchanger/limits.go
+++ b/internal/exchanger/limits.go
@@ -42,6 +42,8 @@
 	ErrTwoHeads = errors.New("another response ran into this one")
 	// ErrNoEvents is returned when a stream carries lines that are no events, such as the text of an error.
 	ErrNoEvents = errors.New("the stream carries lines that are no events")
+	// ErrNoStatus is returned for a response whose status is outside of 100 to 599.
+	ErrNoStatus = errors.New("the status of the response is none")
 	// ErrSwitched is returned when a server switches protocols unasked.
 	ErrSwitched = errors.New("the server switched protocols")
 )
--- a/internal/exchanger/response_test.go
+++ b/internal/exchanger/response_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// Guards against an answer whose status is none, which is passed on, or skipped as an informational one until the time limit.
+func TestStatusThatIsNoneIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			client, server := connPair(t)
+			c := newConn(client, timer.NewSystemClock().Now, testLimits(), NewMemory(1<<20))
+			go func() {
+				_, _ = io.WriteString(server, "HTTP/1.1 "+status+" OK\r\nId: a\r\nContent-Length: 2\r\n\r\nhi")
+			}()
+			wait := c.source.within(5 * timer.Second)
+			if _, err := c.ReadResponse(Request{ID: "a", Method: http.MethodGet}, testInspect, wait); !errors.Is(err, ErrNoStatus) {
+				t.Fatalf("got %v, want %v", err, ErrNoStatus)
+			}
+		})
+	}
+}
+
 // A stream of valid events without end is ended by the caller's departure, which closes the connection.
 func TestEndlessEventsEndWithTheConnection(t *testing.T) {
 	client, server := net.Pipe()
