Dispatcher: a status outside of 100 to 599 is no answer

Callers would see, over the own interface: 000, 099, 101, 600 and 999 as the status of an answer; the server side of net/http panics when it is to write 000 or 099.

Such a call fails and may have run.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -27,6 +27,8 @@
 	// Small buffers reduce the memory of each open stream; reads larger than the buffer bypass it.
 	readBufferBytes  = 1 << 10
 	writeBufferBytes = 1 << 10
+	// statusEnd is the first number behind those that a status can have.
+	statusEnd = 600
 	// HeaderAttempt carries the number of the attempt to the backend server.
 	HeaderAttempt = "X-Attempt"
 	// HeaderLastEventID asks an engine to resume a stream after the event with this id.
@@ -158,6 +160,10 @@
 		return nil, &SendError{Ran: ranIfFailed(connected.Load()), Err: err}
 	}
 	body := &stallBody{body: res.Body, watch: watch}
+	if res.StatusCode < http.StatusOK || res.StatusCode >= statusEnd {
+		err := fmt.Errorf("the answer has the status %q", res.Status)
+		return nil, errors.Join(&SendError{Ran: receiver.RanUnknown, Err: err}, body.Close())
+	}
 	id := res.Header.Get(receiver.HeaderRequestID)
 	if id != "" && id != call.RequestID {
 		// The transport takes whatever comes first on a reused connection for the answer.
--- a/internal/dispatcher/upload_test.go
+++ b/internal/dispatcher/upload_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrasshook/eelgrasshook/internal/receiver"
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
 
@@ -55,3 +56,24 @@
 		})
 	}
 }
+
+// Guards against an answer whose status is none, which a server in trouble sends and a caller would get.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go answerEach(l, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nhi")
+			d := NewDispatcher(timer.Second)
+			defer d.Close()
+			res, err := d.Send(context.Background(), Call{Address: l.Addr().String(), RequestID: "own", Method: http.MethodPost, Path: "/"})
+			var sendErr *SendError
+			if !errors.As(err, &sendErr) || sendErr.Ran != receiver.RanUnknown {
+				t.Fatalf("got %+v, %v, want an error after which the request may have run", res, err)
+			}
+		})
+	}
+}
