Exchanger: an answer that came before the upload broke is read

Callers saw: 502 for a request that a server refused as not run, or answered whole, before it had read the upload and reset the connection. The answer was thrown away with the error of the write, so that an order that had not run was not sent elsewhere.

Change: after ECONNRESET or EPIPE the response is read as usual. A body that ends only with its connection is incomplete then, as the reset was told to the writer, and the connection is not used again.

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -133,7 +133,8 @@
 	return ok && d.IsExpired()
 }
 
-// Write sends the whole request.
+// Write sends the whole request. If the server ends the connection meanwhile, it may have answered before: the error is that of the
+// response then, unless a whole one is there.
 func (c *Conn) Write(req Request) error {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
@@ -149,6 +150,10 @@
 		bufs = append(bufs, req.Body)
 	}
 	_, err := bufs.WriteTo(c.Conn)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		c.source.writeErr = err
+		return nil
+	}
 	return err
 }
 
@@ -260,7 +265,7 @@
 
 // CanReuse reports whether the connection may carry another request after the body was read completely.
 func (r *Response) CanReuse() bool {
-	return r.isTied && !r.Close && !r.announcesForbiddenBody()
+	return r.isTied && !r.Close && !r.announcesForbiddenBody() && r.conn.source.writeErr == nil
 }
 
 // announcesForbiddenBody reports whether a response that cannot have a body announces one, which may follow.
--- a/internal/exchanger/source.go
+++ b/internal/exchanger/source.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -21,6 +23,8 @@
 	left int64
 	// wait bounds the time of the phase; nil waits until the connection closes.
 	wait Wait
+	// writeErr is the error at which the connection ended while the request was written. Its reader sees a regular end after that.
+	writeErr error
 	// hasDeadline is true if the connection has a read deadline from an earlier read.
 	hasDeadline bool
 }
@@ -39,6 +43,9 @@
 		}
 		n, err := s.conn.Read(p)
 		s.left -= int64(n)
+		if err == io.EOF && errors.Is(s.writeErr, syscall.ECONNRESET) {
+			err = s.writeErr
+		}
 		var timeout net.Error
 		if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
