Exchanger: a body with a length may be filled up with another answer

Cause: a server breaks its answer off, and a late copy of an earlier one follows on the connection. A body with a length was taken for whole as soon as enough bytes had come; only bodies without a length were searched for the head of another answer.

Change: a body with a length that holds a head is incomplete if that head bears the id of a request, or if bytes follow behind the body: the rest of that answer. A head that the end of the body cuts off is found with what follows. A body that merely quotes a head is whole, as before.

Why it works: the answer that fills the gap is longer than the gap or bears its id. Left open: an answer without an id that fills the gap to the byte.

--- a/internal/exchanger/body.go
+++ b/internal/exchanger/body.go
@@ -35,7 +35,7 @@
 	c.source.left = unbounded
 	c.source.wait = c.bodyWait(b, stalled)
 	err := c.readInto(b, r.Body, max(initialBodyBytes, int(r.ContentLength)+1))
-	if err == nil && isUnframed(r.Response) && joinedHeadAt(b.bytes) >= 0 {
+	if err == nil && (isUnframed(r.Response) && joinedHeadAt(b.bytes) >= 0 || r.ContentLength > 0 && r.holdsResponse(b.bytes)) {
 		err = ErrTwoHeads
 	}
 	if err != nil {
--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -160,8 +160,9 @@
 // Response is a response whose head was read.
 type Response struct {
 	*http.Response
-	Info Info
-	conn *Conn
+	Info    Info
+	conn    *Conn
+	inspect Inspect
 	// isTied is true if the response bears the id of its request. An untied one may have been followed by a copy, so its
 	// connection is not used again.
 	isTied bool
@@ -207,7 +208,7 @@
 		case res.StatusCode < http.StatusOK:
 			continue
 		}
-		r := &Response{Response: res, Info: inspect(res), conn: c}
+		r := &Response{Response: res, Info: inspect(res), conn: c, inspect: inspect}
 		r.isTied = r.Info.RequestID == req.ID
 		if r.isTied || r.Info.RequestID == "" && r.Info.NotRun && !isReused && skipped == 0 {
 			// A full server may refuse a request before it has read the id. On a connection that was used before, such a
--- a/internal/exchanger/joined_head_test.go
+++ b/internal/exchanger/joined_head_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// Guards against an answer with a length that broke off and is filled up with another one, which goes on behind it.
+func TestPlainAnswersOfALengthCutAndJoinedAreIncomplete(t *testing.T) {
+	const tail = "the end of the answer, which the server has left out"
+	for name, joined := range joins() {
+		for missing := 1; missing <= len(tail); missing++ {
+			answer := strings.Repeat("a line of the answer\n", 200) + tail
+			res := respondRaw(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: %d\r\n\r\n%s%s", len(answer), answer[:len(answer)-missing], joined))
+			if body, err := res.ReadBody(giveUp); err == nil {
+				t.Fatalf("%s, %d bytes are missing: complete with %q", name, missing, body.Bytes[len(body.Bytes)-missing:])
+			}
+		}
+	}
+}
+
 // Guards against answers that speak of HTTP and are taken for broken ones.
 func TestAnswersMayQuoteHeads(t *testing.T) {
 	const events = "id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Type: text/plain\n\nid: 2\ndata: then HTTP/1.1 404 Not Found\n\nx-weights: 3\nid: 3\ndata: x\n\n"
@@ -135,6 +149,13 @@
 			t.Errorf("%s: got %q, %v", name, got.Bytes, err)
 		}
 	}
+	for name, body := range map[string]string{"a head": "it answers HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhello", "an unfinished head": "HTTP/1.1 200 OK\r\nA: b",
+		"the end of a word": "an answer that ends with HTTP", "a letter": "H"} {
+		got, err := respondRaw(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: %d\r\n\r\n%s", len(body), body)).ReadBody(giveUp)
+		if err != nil || string(got.Bytes) != body {
+			t.Errorf("%s in a body with a length: got %q, %v", name, got.Bytes, err)
+		}
+	}
 }
 
 func TestHasIncreasingIDs(t *testing.T) {
