Router: an answer that holds another one is incomplete

Callers would see, over the own interface: an answer that a server broke off, filled up with the answer to another caller.

Cause and change: as in the exchanger. Bytes behind an answer are out of reach below the transport of net/http, so only an answer that bears the id of a request is found.

--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrasshook/eelgrasshook/internal/admitter"
 	"github.com/eelgrasshook/eelgrasshook/internal/dispatcher"
+	"github.com/eelgrasshook/eelgrasshook/internal/exchanger"
 	"github.com/eelgrasshook/eelgrasshook/internal/explainer"
 	"github.com/eelgrasshook/eelgrasshook/internal/indexer"
 	"github.com/eelgrasshook/eelgrasshook/internal/placer"
@@ -210,5 +211,13 @@
 	if int64(len(body)) > limit {
 		return nil, receiver.NewRefusal(http.StatusBadGateway, "answer-too-large", "the answer is larger than max-answer").WithRan(receiver.RanYes)
 	}
+	if exchanger.HoldsResponse(body, nil, hasRequestID) {
+		return nil, &verifier.Fault{Kind: verifier.FaultTruncated, Detail: "another answer ran into this one"}
+	}
 	return body, nil
 }
+
+// hasRequestID reports whether an answer says which request it belongs to.
+func hasRequestID(res *http.Response) bool {
+	return res.Header.Get(receiver.HeaderRequestID) != ""
+}
