Forwarder: the rest of a stream may have no event

Sound servers counted as failing for it.

Cause: a server breaks off between the last event and the end of the body. The next one, asked to go on behind that event, answers with an empty stream and its end, and an end before the first event counted as broken whatever was asked.

Change: where a request names the last event, its own or its caller's, an empty rest is whole, if a length or chunks tell its end. It is not if the stream broke off within an event, so that more was to come, and not if the connection's end is the only sign.

--- a/internal/exchanger/events.go
+++ b/internal/exchanger/events.go
@@ -22,6 +22,8 @@
 	returned, scanned int
 	lastEventAt       timer.Millis
 	hasEvents         bool
+	// mayBeEmpty is true if the rest of a stream may have no event.
+	mayBeEmpty bool
 	// err is the error that came with the last bytes.
 	err error
 }
@@ -38,6 +40,17 @@
 	return e
 }
 
+// WithEmptyRest returns the reader of the rest of a stream, which is complete without an event if its end is told by a length or by chunks.
+func (e *EventReader) WithEmptyRest() *EventReader {
+	e.mayBeEmpty = !isUnframed(e.res.Response)
+	return e
+}
+
+// HasPart reports whether the stream broke off within an event.
+func (e *EventReader) HasPart() bool {
+	return len(e.buffer.bytes) > e.returned
+}
+
 // Free returns the memory of the reader.
 func (e *EventReader) Free() {
 	e.buffer.free()
@@ -100,9 +113,12 @@
 	e.returned, e.scanned = 0, 0
 }
 
-// endError returns the error of a stream that has ended: an end within an event or before the first one is irregular.
+// endError returns the error of a stream that has ended: an end within an event is irregular, and one before the first event, unless the
+// stream may be empty.
 func (e *EventReader) endError() error {
-	if e.err == io.EOF && (len(e.buffer.bytes) > 0 || !e.hasEvents) {
+	b := e.buffer.bytes
+	isWhole := len(b) == 0 && e.hasEvents || e.mayBeEmpty && completeEventsLen(b) == len(b)
+	if e.err == io.EOF && !isWhole {
 		return io.ErrUnexpectedEOF
 	}
 	return e.err
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -222,6 +222,8 @@
 	// usedConns are the connections that have carried an attempt.
 	usedConns []*exchanger.Conn
 	writer    *writer
+	// hasMoreEvents is true if the stream broke off within an event, so that its rest is not empty.
+	hasMoreEvents bool
 	// cachedPrefixKey is the result of prefixKey for cachedPrefixModel; 0 until it is computed.
 	cachedPrefixKey   uint64
 	cachedPrefixModel string
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -91,6 +91,9 @@
 // stream. The ids of events increase, and the events of a continuation must follow those that the caller has.
 func (t *task) relayEvents(ctx context.Context, x *exchange, isContinuation bool) error {
 	reader := x.res.Events(t.eventWait(ctx, x))
+	if t.LastEventID != "" && !t.hasMoreEvents {
+		reader = reader.WithEmptyRest()
+	}
 	defer reader.Free()
 	// lastID is the id of the last event of this attempt.
 	lastID := ""
@@ -98,10 +101,15 @@
 		events, err := reader.Next()
 		switch {
 		case err == io.EOF:
+			if t.writer.status == 0 {
+				t.writer.writeHead(x.res.Response, -1, t.f.deps.Telemetry.Clock.Now())
+			}
 			return nil
 		case err != nil:
+			t.hasMoreEvents = t.hasMoreEvents || reader.HasPart()
 			return err
 		}
+		t.hasMoreEvents = false
 		now := t.f.deps.Telemetry.Clock.Now()
 		x.server.lastByte.Store(int64(now))
 		if isContinuation && !exchanger.ContinueStream(t.LastEventID, events) || !exchanger.HasIncreasingIDs(lastID, events) {
