Quarantine: long prompts are decided in time that grows with their parts

Cause: for each part of a prompt, Evidence.suspects filtered a copy of all parts by a linear search in all parts: the cube of the parts, with the lock that every request takes. Of the same kind: Acquit searched each part in all parts of each report, isSubset did so for each request that is looked at, and dropOldest searched all entries for each one that it drops.

The others use sets, and one sort.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -144,14 +145,18 @@
 // Acquit acquits a request that a backend server has answered, and its prompt parts, of all crashes known so far; it
 // returns the acquittals that are new.
 func (e *Evidence) Acquit(request uint64, parts []uint64, now timer.Millis) []Acquittal {
+	isAnswered := make(map[uint64]bool, len(parts))
+	for _, p := range parts {
+		isAnswered[p] = true
+	}
 	e.mu.RLock()
 	var list []Acquittal
 	for id, r := range e.reports {
 		if id.request == request {
 			list = append(list, Acquittal{id.crash.server, id.crash.incarnation, request})
 		}
-		for _, p := range parts {
-			if slices.Contains(r.parts, p) {
+		for _, p := range r.parts {
+			if isAnswered[p] {
 				list = append(list, Acquittal{id.crash.server, id.crash.incarnation, p})
 			}
 		}
@@ -206,14 +211,11 @@
 
 // dropOldest removes the oldest entries above the limit.
 func dropOldest[K comparable, V any](entries map[K]V, limit int, at func(V) timer.Millis) {
-	for len(entries) > limit {
-		var oldest K
-		found := false
-		for k, v := range entries {
-			if !found || at(v) < at(entries[oldest]) {
-				oldest, found = k, true
-			}
-		}
-		delete(entries, oldest)
+	if len(entries) <= limit {
+		return
+	}
+	oldest := slices.SortedFunc(maps.Keys(entries), func(a, b K) int { return cmp.Compare(at(entries[a]), at(entries[b])) })
+	for _, k := range oldest[:len(entries)-limit] {
+		delete(entries, k)
 	}
 }
--- a/internal/quarantiner/evidence_test.go
+++ b/internal/quarantiner/evidence_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
 )
@@ -246,3 +247,47 @@
 		t.Fatalf("%d reports kept, want %d", len(reports), maxReports)
 	}
 }
+
+// Load: crashes under prompts of as many parts as a header holds, and answers to such prompts. Guards against decisions that hold the
+// evidence, which every request looks at, for seconds. The bound is on comparisons in the code: none grows with the square of the parts.
+func TestLongPromptsAreDecidedSoon(t *testing.T) {
+	const parts, crashes = 2600, 8
+	prompt := func(n int) []uint64 {
+		list := make([]uint64, parts)
+		for i := range list {
+			list[i] = uint64(i + 1)
+			if i%2 == 1 {
+				list[i] += uint64(n+1) << 32
+			}
+		}
+		return list
+	}
+	done := make(chan *Evidence, 1)
+	go func() {
+		e := NewEvidence()
+		for n := range 6 {
+			list := make([]Acquittal, maxAcquittals/2)
+			for i := range list {
+				list[i] = Acquittal{Server: "other", Incarnation: int64(n), Trait: uint64(i)}
+			}
+			e.AddAcquittals(list, now-timer.Minute)
+		}
+		for n := range crashes {
+			e.Report(crashed(n, now-timer.Millis(n)*timer.Second, prompt(n))[0], now)
+			e.Acquit(1, prompt(crashes + n)[:2], now)
+		}
+		for n := range 200 {
+			blocks(e, 1, prompt(n)...)
+		}
+		done <- e
+	}()
+	select {
+	case e := <-done:
+		groups := blockedGroups(e)
+		if len(groups) != 1 || len(groups[0]) != parts/2-1 {
+			t.Fatalf("%d groups are blocked, want one of %d parts", len(groups), parts/2-1)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the evidence is still being decided after 20 s")
+	}
+}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -91,8 +91,18 @@
 	return len(s.parts) > len(other.parts) && isSubset(other.parts, s.parts)
 }
 
+// fewParts is the number of parts up to which a search in a list is faster than a set.
+const fewParts = 16
+
 func isSubset(subset, set []uint64) bool {
-	return !slices.ContainsFunc(subset, func(p uint64) bool { return !slices.Contains(set, p) })
+	if len(subset) <= fewParts {
+		return !slices.ContainsFunc(subset, func(p uint64) bool { return !slices.Contains(set, p) })
+	}
+	members := make(map[uint64]bool, len(set))
+	for _, p := range set {
+		members[p] = true
+	}
+	return !slices.ContainsFunc(subset, func(p uint64) bool { return !members[p] })
 }
 
 // decide works out which groups of parts and which requests are blocked. Each crash has one cause: the crashes of a blocked
@@ -201,41 +211,6 @@
 	return frequent
 }
 
-// suspects returns the groups with at least minLeadCrashes crashes that are not explained yet, in a fixed order.
-func (e *Evidence) suspects(explained map[crashID]bool, answered map[uint64]bool, withAnswered bool) []suspect {
-	byPart := map[uint64]suspect{}
-	for id, r := range e.reports {
-		if explained[id.crash] {
-			continue
-		}
-		present := slices.DeleteFunc(slices.Clone(r.parts), func(p uint64) bool {
-			return e.isAcquitted(id.crash, p) || answered[p] && !withAnswered
-		})
-		for _, p := range present {
-			s, ok := byPart[p]
-			if !ok {
-				s = suspect{parts: present, crashes: map[crashID]timer.Millis{}}
-			}
-			s.parts = slices.DeleteFunc(slices.Clone(s.parts), func(o uint64) bool { return !slices.Contains(present, o) })
-			s.isSingledOut = s.isSingledOut || len(present) < len(r.parts)
-			s.crashes[id.crash] = r.crashedAt
-			byPart[p] = s
-		}
-	}
-	var list []suspect
-	for _, s := range byPart {
-		slices.Sort(s.parts)
-		s.parts = slices.Compact(s.parts)
-		s.isAnswered = !slices.ContainsFunc(s.parts, func(p uint64) bool { return !answered[p] })
-		isKnown := func(o suspect) bool { return slices.Equal(o.parts, s.parts) }
-		if len(s.crashes) >= minLeadCrashes && !slices.ContainsFunc(list, isKnown) {
-			list = append(list, s)
-		}
-	}
-	slices.SortFunc(list, func(a, b suspect) int { return slices.Compare(a.parts, b.parts) })
-	return list
-}
-
 // mostSpecific returns the suspects with a convincing number of crashes that no other one is more specific than: fewer prompts
 // hold a larger group, so blocking it costs fewer sound ones, and these then show which of its parts are sound. If a smaller
 // group is the cause, crashes under it alone follow.
