Forwarder: a success without the seal of its server broke on its way

Cause: nothing read the seal.

Change: Info.IsSealed; once a service has sealed an answer, a success of it without a seal counts as broken off: asked for again where the request may be repeated, 502 otherwise. A service that seals nothing is served as before, and the first answers until one was sealed.

Evidence: TestSuccessWithoutItsSealIsNotTaken, six cases, two red before (got 200).

--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -38,6 +38,8 @@
 	RequestID string
 	// NotRun is true if the server did not run the request.
 	NotRun bool
+	// IsSealed is true if the response bears the seal with which the server vouches for it.
+	IsSealed bool
 	// Running, Waiting and Slots are the server's load; Slots is 0 if it is not given.
 	Running, Waiting, Slots int
 	// WorkPercent is how long work takes on the server's machine at this moment, in percent of the usual time; 0 if it is not given.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -188,6 +188,9 @@
 	if err != nil {
 		return t.abortAttempt(x, err)
 	}
+	if t.f.seals.isMissing(t.service, res) {
+		return t.abortAttempt(x, errNoSeal)
+	}
 	s := x.server
 	x.res = res
 	now := t.f.deps.Telemetry.Clock.Now()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -90,6 +90,7 @@
 	firstByteTimes, answerTimes sync.Map
 	// slowness holds the *slownessWindow of each service.
 	slowness sync.Map
+	seals    seals
 	// restWaiters holds, for each service, the *atomic.Int64 of awaitingRest.
 	restWaiters sync.Map
 	// choiceMu is held while a server is chosen for a request.
