--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -191,9 +191,8 @@
 		return
 	}
 	c.lease.Close()
-	if ahead > 0 {
-		// The next read fails if this is too much.
-		_ = c.lease.Take(ahead*byteCost + lines*lineCost)
+	if ahead > 0 && c.lease.Take(ahead*byteCost+lines*lineCost) != nil {
+		c.isRefused.Store(true)
 	}
 }
 
