Forwarder: a connection that is to end ends with its answer

Callers saw: while a crowd sent one ordinary request after the other on all connections, no ordinary caller got a new one: none in 90 s (TestCrowdThatSendsRequestAfterRequest, new here, callers of an entry instance). Connections also stayed open during a planned stop.

Cause: the header of a forwarded answer dropped Connection and the like from what was set for the caller, not only from what the server had sent. So neither the connection that had carried the most requests ended, nor those of a stopping instance.

Change: the headers of one connection are left out while the server's are copied.

--- a/internal/crowder/heads_test.go
+++ b/internal/crowder/heads_test.go
@@ -1,9 +1,11 @@
 package crowder
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -106,15 +108,20 @@
 	newTown(t, maxFiles).visit(2*maxFiles, say(requestLine))
 }
 
-// drip lets a crowd send a byte each dripPause at an address, and come again when it is closed, until it is told to leave.
+// drip lets a crowd send a byte each dripPause at an address.
 func drip(address, first string) (leave func()) {
+	return crowdOf(address, func(conn net.Conn, stop <-chan struct{}) { dripTo(conn, first, stop) })
+}
+
+// crowdOf lets dripCrowd connections run at an address, each of which comes again when it is closed, until they are told to leave.
+func crowdOf(address string, run func(conn net.Conn, stop <-chan struct{})) (leave func()) {
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	for range dripCrowd {
 		wg.Go(func() {
 			for {
 				if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
-					dripTo(conn, first, stop)
+					run(conn, stop)
 					_ = conn.Close()
 				}
 				select {
@@ -183,3 +190,46 @@
 	tn.send(d.address, crowd, say(fmt.Sprint(bookingHead, maxBody, "\r\n\r\n")+strings.Repeat("x", maxBody-1)))
 	tn.expect(d)
 }
+
+// Each connection sends one ordinary request after the other. Ordinary callers on new connections must get their turn.
+func TestCrowdThatSendsRequestAfterRequest(t *testing.T) {
+	lookup := "GET /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\n\r\n"
+	requests := map[string]string{
+		"callers of an entry instance": lookup,
+		"control":                      "GET /config HTTP/1.1\r\nHost: h\r\n\r\n",
+		"callers of the own interface": "GET /services/coat-desk/catalogue/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-adoption-app\r\n\r\n",
+	}
+	tn := newTown(t, maxFiles)
+	for name, text := range requests {
+		t.Run(name, func(t *testing.T) {
+			tn.t = t
+			d := tn.doors[name]
+			leave := crowdOf(d.address, func(conn net.Conn, stop <-chan struct{}) { ask(conn, text, stop) })
+			defer leave()
+			time.Sleep(4 * time.Second)
+			tn.expect(d)
+		})
+	}
+}
+
+// ask sends a request again and again, each after the answer to the one before.
+func ask(conn net.Conn, text string, stop <-chan struct{}) {
+	answers := bufio.NewReader(conn)
+	for {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		res, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/internal/forwarder/writer.go
+++ b/internal/forwarder/writer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/eelgrasshook/eelgrasshook/pkg/timer"
@@ -28,10 +29,10 @@
 func (w *writer) writeHead(res *http.Response, length int, now timer.Millis) {
 	h := w.w.Header()
 	for name, values := range res.Header {
-		h[name] = values
-	}
-	for _, name := range HopByHopHeaders() {
-		h.Del(name)
+		// Those of one connection that are set here concern the caller's.
+		if !slices.Contains(HopByHopHeaders(), name) {
+			h[name] = values
+		}
 	}
 	if _, ok := h["Content-Type"]; !ok {
 		// Prevents net/http from guessing a content type that the server did not send.
