--- a/internal/launcher/listeners.go
+++ b/internal/launcher/listeners.go
@@ -29,9 +29,7 @@
 type listener struct {
 	server *http.Server
 	socket net.Listener
-	// isGuarded is true if the connections of the socket are bounded.
-	isGuarded bool
-	tomb      tomb.Tomb
+	tomb   tomb.Tomb
 }
 
 // newListener binds the address at once, so that it can be announced to others; the listener serves after start.
@@ -91,7 +89,6 @@
 	l.socket = limiter.NewListener(l.socket, g.telemetry.Clock, limiter.Bounds{
 		MaxConns: max, DescriptorShare: descriptorShare, Stall: g.limits.CallerStall, Budget: g.budget, Pace: paceOf(g.limits),
 	}, limiter.NewPressure(g.telemetry, name))
-	l.isGuarded = true
 }
 
 func (l *listener) address() string {
@@ -99,9 +96,7 @@
 }
 
 func (l *listener) start() {
-	if l.isGuarded {
-		limiter.Attach(l.server)
-	}
+	limiter.Attach(l.server)
 	socket := l.socket
 	if l.server.TLSConfig != nil {
 		socket = tls.NewListener(socket, l.server.TLSConfig)
