Limiter: unfinished heads over TLS count for what they take

Cause: the connection counts below the encryption, where the lines of a head cannot be told, so that short fields counted two bytes each.

Change: once the handshake has begun, a byte counts for 20. What came before it, the greeting, is given back, so that ordinary handshakes stay below the size for which the reserve is.

--- a/internal/crowder/addresses_test.go
+++ b/internal/crowder/addresses_test.go
@@ -51,7 +51,8 @@
 	}
 	f := newFleetWith(t, options{files: files, settings: "[limits]\nmax-held = " + halfHeld + "\n", addresses: true})
 	tn := &town{fleet: f, files: files}
-	callers, control, links := tn.startWhole()
+	whole, callers, control, links := tn.startWhole("")
+	tn.whole = whole
 	tn.bounds = map[*process]int{f.entry: entryMemory / 2, f.control: controlMemory / 2, tn.whole: entryMemory / 2}
 	get := func(url string) func() bool {
 		return func() bool {
@@ -78,7 +79,7 @@
 }
 
 // startWhole starts a whole instance, which serves our own interface, and a stand-in of a service that announces itself there.
-func (tn *town) startWhole() (callers, control, links string) {
+func (tn *town) startWhole(settings string) (whole *process, callers, control, links string) {
 	tn.t.Helper()
 	ports, err := reserver.ReservePorts(3)
 	if err != nil {
@@ -90,8 +91,8 @@
 	if err != nil {
 		tn.t.Fatal(err)
 	}
-	tn.whole = tn.start("whole", fmt.Sprintf("[instance]\nname = w1\ndata-centre = almaty-a\n[listen]\ncallers = %s\ncontrol = %s\nlinks = %s\n"+
-		"[document]\nfile = %s\n[servers]\nsilence = 1m\n[log]\nlevel = warn\n", callers, control, links, document))
+	whole = tn.start("whole", fmt.Sprintf("[instance]\nname = w1\ndata-centre = almaty-a\n[listen]\ncallers = %s\ncontrol = %s\nlinks = %s\n"+
+		"[document]\nfile = %s\n[servers]\nsilence = 1m\n[log]\nlevel = warn\n", callers, control, links, document)+settings)
 	tn.waitFor("the whole instance is ready", func() bool {
 		status, _ := request(http.MethodGet, "http://"+control+"/readyz", nil)
 		return status == http.StatusOK
@@ -104,7 +105,7 @@
 		_ = desk.Process.Kill()
 		_ = desk.Wait()
 	})
-	return callers, control, links
+	return whole, callers, control, links
 }
 
 // isServed reports whether an order is answered by the backend server.
--- a/internal/launcher/listeners.go
+++ b/internal/launcher/listeners.go
@@ -99,7 +99,7 @@
 	limiter.Attach(l.server)
 	socket := l.socket
 	if l.server.TLSConfig != nil {
-		socket = tls.NewListener(socket, l.server.TLSConfig)
+		socket = tls.NewListener(socket, limiter.WithHandshakes(l.server.TLSConfig))
 	}
 	l.tomb.Go(func() error { return l.run(socket) })
 }
--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -15,6 +15,8 @@
 	lineCost = fieldCost
 	// byteCost is what a byte of an unfinished head takes: a field that is still read is held in a buffer that grows.
 	byteCost = 2
+	// encryptedCost is what a byte of an unfinished head takes whose lines cannot be told: most of them may be as short as lines can be.
+	encryptedCost = 20
 	// readAhead is the most that a server reads ahead of the request that it serves, in bytes.
 	readAhead = 4 << 10
 )
@@ -45,6 +47,8 @@
 	// request is the request that is being read, with a startedAt of 0 between two requests.
 	request arrival
 	head    headEnd
+	// isGreeted is true once the other end of an encrypted connection has begun its handshake.
+	isGreeted bool
 	// isOpen is true once the head of the request was read. From then on its handler accounts for it.
 	isOpen bool
 	// bodyLength is that of the open request, -1 if it is not known.
@@ -149,9 +153,23 @@
 	if c.isOpen {
 		return nil
 	}
+	if c.isGreeted {
+		return c.lease.Take(int64(len(b)) * encryptedCost)
+	}
 	return c.lease.Take(int64(len(b))*byteCost + int64(lines)*lineCost)
 }
 
+// greet records that the handshake of an encrypted connection has begun: what was read before is no part of a head.
+func (c *Conn) greet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isGreeted = true
+	if c.lease != nil {
+		// Giving back fails only if the connection has to end.
+		_ = c.lease.Resize(0)
+	}
+}
+
 // recordState records what the server does with the connection.
 func (c *Conn) recordState(state http.ConnState) {
 	switch state {
--- a/internal/limiter/serving.go
+++ b/internal/limiter/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -27,6 +28,21 @@
 	}
 }
 
+// WithHandshakes returns a configuration of a server that tells its connections when their handshakes begin.
+func WithHandshakes(cfg *tls.Config) *tls.Config {
+	watched := cfg.Clone()
+	watched.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		if c, ok := hello.Conn.(*Conn); ok {
+			c.greet()
+		}
+		if cfg.GetConfigForClient != nil {
+			return cfg.GetConfigForClient(hello)
+		}
+		return nil, nil
+	}
+	return watched
+}
+
 // openRequests returns a handler that takes what the head of a request holds before it is served.
 func openRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
