--- a/internal/exchanger/conn.go
+++ b/internal/exchanger/conn.go
@@ -198,16 +198,13 @@
 		}
 		c.source.wait = c.source.within(c.limits.HeadTimeout)
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
-		switch {
-		case err != nil:
+		if err == nil {
+			err = checkHead(res)
+		}
+		if err != nil {
 			return nil, err
-		case res.StatusCode < http.StatusContinue || res.StatusCode >= statusEnd:
-			return nil, ErrNoStatus
-		case res.StatusCode == http.StatusSwitchingProtocols:
-			return nil, ErrSwitched
-		case hasTwoHeads(res):
-			return nil, ErrTwoHeads
-		case res.StatusCode < http.StatusOK:
+		}
+		if res.StatusCode < http.StatusOK {
 			continue
 		}
 		r := &Response{Response: res, Info: inspect(res), conn: c, inspect: inspect}
@@ -228,6 +225,19 @@
 	}
 }
 
+// checkHead returns the error of a head that is no head of a response to a request.
+func checkHead(res *http.Response) error {
+	switch {
+	case res.StatusCode < http.StatusContinue || res.StatusCode >= statusEnd:
+		return ErrNoStatus
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		return ErrSwitched
+	case hasTwoHeads(res):
+		return ErrTwoHeads
+	}
+	return nil
+}
+
 // hasTwoHeads reports whether the head of another response was cut off and ran into this one: a header or the status then
 // holds a status line. Headers of the first would otherwise count for the second.
 func hasTwoHeads(res *http.Response) bool {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -214,21 +214,17 @@
 // idle connections that give way in their place, and against slow callers that give way though they send what a slow line carries.
 func TestSlowRequestsGiveWayFirst(t *testing.T) {
 	const grace = 3 * timer.Second
-	type caller struct {
-		startedAt, progressAt timer.Millis
-		bytes                 int64
-	}
 	now := timer.Hour
 	tests := map[string]struct {
-		callers []caller
+		callers []arrival
 		want    int
 	}{
-		"all have just begun":            {[]caller{{now - grace, now, 1}, {now - grace, now, 1}}, -1},
-		"one sends a byte now and then":  {[]caller{{now - grace, now, 1}, {now - 2*grace, now, 10}}, 1},
-		"the one that has taken longest": {[]caller{{now - 3*grace, now, 10}, {now - 4*grace, now, 10}, {now - 2*grace, now - stallTime, 1}}, 1},
-		"slow lines":                     {[]caller{{now - 10*grace, now, 60 << 10}, {now - 2*grace, now, 6 << 10}}, -1},
-		"an idle connection":             {[]caller{{0, now - 20*grace, 0}, {now - grace, now, 1}}, 0},
-		"an idle one stays longer":       {[]caller{{0, now - 20*grace, 0}, {now - 2*grace, now, 10}}, 1},
+		"all have just begun":            {[]arrival{{now - grace, now, 1}, {now - grace, now, 1}}, -1},
+		"one sends a byte now and then":  {[]arrival{{now - grace, now, 1}, {now - 2*grace, now, 10}}, 1},
+		"the one that has taken longest": {[]arrival{{now - 3*grace, now, 10}, {now - 4*grace, now, 10}, {now - 2*grace, now - stallTime, 1}}, 1},
+		"slow lines":                     {[]arrival{{now - 10*grace, now, 60 << 10}, {now - 2*grace, now, 6 << 10}}, -1},
+		"an idle connection":             {[]arrival{{0, now - 20*grace, 0}, {now - grace, now, 1}}, 0},
+		"an idle one stays longer":       {[]arrival{{0, now - 20*grace, 0}, {now - 2*grace, now, 10}}, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -239,7 +235,7 @@
 				conn := newConn(nil, l)
 				conn.progressAt.Store(int64(c.progressAt))
 				if c.startedAt != 0 {
-					conn.request = arrival{startedAt: c.startedAt, progressAt: c.progressAt, bytes: c.bytes}
+					conn.request = c
 				}
 				l.conns[conn] = true
 				list = append(list, conn)
