Tests of seals use a header of their own

Cause: the test codec read the seal from a header that the answers of some stand-ins bear and those of the leaving server do not.

The seal of the test codec is a header that only its own test sets. No other test or check changes.

--- a/internal/forwarder/helpers_test.go
+++ b/internal/forwarder/helpers_test.go
@@ -113,7 +113,7 @@
 			if rest, err := strconv.Atoi(res.Header.Get("Rest-Ms")); err == nil {
 				info.Rest = timer.Millis(rest)
 			}
-			info.IsLeaving, info.IsSealed = res.Header.Get("Leaving") != "", res.Header.Get("Seal") != ""
+			info.IsLeaving, info.IsSealed = res.Header.Get("Leaving") != "", res.Header.Get("Stamp") != ""
 			if limit, err := strconv.ParseFloat(res.Header.Get("Limit"), 64); err == nil {
 				info.HasRateLimit, info.RateLimit = true, limit
 			}
--- a/internal/forwarder/seal_test.go
+++ b/internal/forwarder/seal_test.go
@@ -12,7 +12,7 @@
 // Load: a server whose answers bear a seal spoils the header of one. Guards against a success without the seal that is passed on, and
 // against answers of services that know no seals.
 func TestSuccessWithoutItsSealIsNotTaken(t *testing.T) {
-	const seal = "Seal: s\r\n"
+	const seal = "Stamp: s\r\n"
 	tests := map[string]struct {
 		kind          matcher.RouteKind
 		before, lines string
@@ -21,8 +21,8 @@
 	}{
 		"sealed":                        {matcher.KindAtMostOnce, seal, seal, 200, 200},
 		"a service without seals":       {matcher.KindAtMostOnce, "", "", 200, 200},
-		"spoiled":                       {matcher.KindAtMostOnce, seal, "Sexl: s\r\n", 200, http.StatusBadGateway},
-		"spoiled, may be repeated":      {matcher.KindIdempotent, seal, "Sexl: s\r\n", 200, 200},
+		"spoiled":                       {matcher.KindAtMostOnce, seal, "Stxmp: s\r\n", 200, http.StatusBadGateway},
+		"spoiled, may be repeated":      {matcher.KindIdempotent, seal, "Stxmp: s\r\n", 200, 200},
 		"a failure needs none":          {matcher.KindAtMostOnce, seal, "", 404, 404},
 		"the first one that has a seal": {matcher.KindAtMostOnce, "", seal, 200, 200},
 	}
