--- a/internal/crowder/addresses_test.go
+++ b/internal/crowder/addresses_test.go
@@ -25,83 +25,83 @@
 	headFiles = 1100
 )
 
-// door is an address of a process, with an ordinary request that it must answer.
-type door struct {
+// endpoint is an address of a process, with an ordinary request that it must answer.
+type endpoint struct {
 	process *process
 	address string
 	answers func() bool
 }
 
-// town is a fleet with an instance of each role, of which every address is known.
-type town struct {
+// deployment is a fleet with an instance of each role, of which every address is known.
+type deployment struct {
 	*fleet
 	whole *process
-	// doors are the addresses of all processes by name.
-	doors map[string]door
+	// endpoints are the addresses of all processes by name.
+	endpoints map[string]endpoint
 	// bounds are the memory that each process may take, in bytes.
 	bounds map[*process]int
 	files  int
 }
 
-// newTown starts an entry, a control and a whole instance with half of the memory of their machines.
-func newTown(t *testing.T, files int) *town {
+// newDeployment starts an entry, a control and a whole instance with half of the memory of their machines.
+func newDeployment(t *testing.T, files int) *deployment {
 	t.Helper()
 	if os.Getenv("CROWDS") == "" {
 		t.Skip("CROWDS=1 runs the crowds, one at a time and apart from other load")
 	}
 	f := newFleetWith(t, options{files: files, settings: "[limits]\nmax-held = " + halfHeld + "\n", addresses: true})
-	tn := &town{fleet: f, files: files}
-	whole, callers, control, links := tn.startWhole("")
-	tn.whole = whole
-	tn.bounds = map[*process]int{f.entry: entryMemory / 2, f.control: controlMemory / 2, tn.whole: entryMemory / 2}
+	dep := &deployment{fleet: f, files: files}
+	whole, callers, control, links := dep.startWhole("")
+	dep.whole = whole
+	dep.bounds = map[*process]int{f.entry: entryMemory / 2, f.control: controlMemory / 2, dep.whole: entryMemory / 2}
 	get := func(url string) func() bool {
 		return func() bool {
 			status, _ := request(http.MethodGet, url, nil)
 			return status == http.StatusOK
 		}
 	}
-	tn.doors = map[string]door{
-		"callers of an entry instance":  {f.entry, f.callersAddr, tn.isServed},
+	dep.endpoints = map[string]endpoint{
+		"callers of an entry instance":  {f.entry, f.callersAddr, dep.isServed},
 		"readiness":                     {f.entry, f.readyAddr, get("http://" + f.readyAddr + "/readiness")},
-		"tunnels of an entry instance":  {f.entry, f.tunnelsAddr, tn.isRelayed},
+		"tunnels of an entry instance":  {f.entry, f.tunnelsAddr, dep.isRelayed},
 		"metrics of an entry instance":  {f.entry, f.entryMetrics, get("http://" + f.entryMetrics + "/metrics")},
 		"control":                       {f.control, f.controlAddr, get("http://" + f.controlAddr + "/config")},
 		"links of a control instance":   {f.control, f.linksAddr, func() bool { return isLinked(f.linksAddr) }},
 		"metrics of a control instance": {f.control, f.controlMetrics, get("http://" + f.controlMetrics + "/metrics")},
-		"callers of the own interface":  {tn.whole, callers, func() bool { return isAnsweredAt(callers) }},
-		"control of the own interface":  {tn.whole, control, get("http://" + control + "/readyz")},
-		"links of a whole instance":     {tn.whole, links, func() bool { return isLinked(links) }},
+		"callers of the own interface":  {dep.whole, callers, func() bool { return isAnsweredAt(callers) }},
+		"control of the own interface":  {dep.whole, control, get("http://" + control + "/readyz")},
+		"links of a whole instance":     {dep.whole, links, func() bool { return isLinked(links) }},
 	}
-	for name, d := range tn.doors {
-		tn.waitFor(name+" answer", d.answers)
+	for name, ep := range dep.endpoints {
+		dep.waitFor(name+" answer", ep.answers)
 	}
-	return tn
+	return dep
 }
 
 // startWhole starts a whole instance, which serves our own interface, and a stand-in of a service that announces itself there.
-func (tn *town) startWhole(settings string) (whole *process, callers, control, links string) {
-	tn.t.Helper()
+func (dep *deployment) startWhole(settings string) (whole *process, callers, control, links string) {
+	dep.t.Helper()
 	ports, err := reserver.ReservePorts(3)
 	if err != nil {
-		tn.t.Fatal(err)
+		dep.t.Fatal(err)
 	}
 	address := func(n int) string { return fmt.Sprintf("127.0.0.3:%d", ports[n]) }
 	callers, control, links = address(0), address(1), address(2)
 	document, err := filepath.Abs("../../examples/tazy-fit.ini")
 	if err != nil {
-		tn.t.Fatal(err)
+		dep.t.Fatal(err)
 	}
-	whole = tn.start("whole", fmt.Sprintf("[instance]\nname = w1\ndata-centre = almaty-a\n[listen]\ncallers = %s\ncontrol = %s\nlinks = %s\n"+
+	whole = dep.start("whole", fmt.Sprintf("[instance]\nname = w1\ndata-centre = almaty-a\n[listen]\ncallers = %s\ncontrol = %s\nlinks = %s\n"+
 		"[document]\nfile = %s\n[servers]\nsilence = 1m\n[log]\nlevel = warn\n", callers, control, links, document)+settings)
-	tn.waitFor("the whole instance is ready", func() bool {
+	dep.waitFor("the whole instance is ready", func() bool {
 		status, _ := request(http.MethodGet, "http://"+control+"/readyz", nil)
 		return status == http.StatusOK
 	})
-	desk := exec.Command(tn.binary, "imitate", "service", "--name", "desk-01", "--data-centre", "almaty-a", "--service", "coat-desk", "--to", control)
+	desk := exec.Command(dep.binary, "imitate", "service", "--name", "desk-01", "--data-centre", "almaty-a", "--service", "coat-desk", "--to", control)
 	if err := desk.Start(); err != nil {
-		tn.t.Fatal(err)
+		dep.t.Fatal(err)
 	}
-	tn.t.Cleanup(func() {
+	dep.t.Cleanup(func() {
 		_ = desk.Process.Kill()
 		_ = desk.Wait()
 	})
@@ -109,15 +109,15 @@
 }
 
 // isServed reports whether an order is answered by the backend server.
-func (tn *town) isServed() bool {
-	status, text := request(http.MethodPost, "http://"+tn.callersAddr+"/order/x", strings.NewReader("two coats"))
+func (dep *deployment) isServed() bool {
+	status, text := request(http.MethodPost, "http://"+dep.callersAddr+"/order/x", strings.NewReader("two coats"))
 	return status == http.StatusOK && text == "ok"
 }
 
 // isRelayed reports whether the entry instance relays a connection to the backend server.
-func (tn *town) isRelayed() bool {
-	server := tn.backend.Listener.Addr().String()
-	return answersWith(tn.tunnelsAddr, "CONNECT "+server+" HTTP/1.1\r\nHost: "+server+"\r\n\r\n", http.StatusOK)
+func (dep *deployment) isRelayed() bool {
+	server := dep.backend.Listener.Addr().String()
+	return answersWith(dep.tunnelsAddr, "CONNECT "+server+" HTTP/1.1\r\nHost: "+server+"\r\n\r\n", http.StatusOK)
 }
 
 // isLinked reports whether an address accepts the link of an instance.
@@ -158,38 +158,38 @@
 }
 
 // expect fails the test unless the address still answers an ordinary request, and its process has stayed within its machine.
-func (tn *town) expect(d door) {
-	tn.t.Helper()
-	tn.waitFor("an ordinary request is answered", d.answers)
-	tn.checkProcess("the process", d.process, tn.bounds[d.process], tn.files)
+func (dep *deployment) expect(ep endpoint) {
+	dep.t.Helper()
+	dep.waitFor("an ordinary request is answered", ep.answers)
+	dep.checkProcess("the process", ep.process, dep.bounds[ep.process], dep.files)
 }
 
-// visit lets a crowd come to each address of each process, one after the other, and leave again.
-func (tn *town) visit(connections int, run func(n int, conn net.Conn)) {
-	t := tn.t
-	for name, d := range tn.doors {
+// sendToEach sends a crowd to each address of each process, one after the other.
+func (dep *deployment) sendToEach(connections int, run func(n int, conn net.Conn)) {
+	t := dep.t
+	for name, ep := range dep.endpoints {
 		t.Run(name, func(t *testing.T) {
-			tn.t = t
-			leave := tn.come(d.address, connections, run)
-			tn.expect(d)
+			dep.t = t
+			leave := dep.launch(ep.address, connections, run)
+			dep.expect(ep)
 			leave()
 		})
 	}
-	tn.t = t
+	dep.t = t
 }
 
-// visitAll lets crowds come to all addresses of each process at the same time.
-func (tn *town) visitAll(connections int, run func(n int, conn net.Conn)) {
-	tn.t.Helper()
+// sendToAll sends crowds to all addresses of each process at the same time.
+func (dep *deployment) sendToAll(connections int, run func(n int, conn net.Conn)) {
+	dep.t.Helper()
 	var wg sync.WaitGroup
-	for _, d := range tn.doors {
+	for _, ep := range dep.endpoints {
 		wg.Go(func() {
-			leave := tn.come(d.address, connections, run)
-			tn.t.Cleanup(leave)
+			leave := dep.launch(ep.address, connections, run)
+			dep.t.Cleanup(leave)
 		})
 	}
 	wg.Wait()
-	for _, d := range tn.doors {
-		tn.expect(d)
+	for _, ep := range dep.endpoints {
+		dep.expect(ep)
 	}
 }
--- a/internal/crowder/fleet_test.go
+++ b/internal/crowder/fleet_test.go
@@ -296,11 +296,11 @@
 // until the test ends.
 func (f *fleet) send(address string, connections int, run func(n int, conn net.Conn)) {
 	f.t.Helper()
-	f.t.Cleanup(f.come(address, connections, run))
+	f.t.Cleanup(f.launch(address, connections, run))
 }
 
-// come does the same; leave closes the connections.
-func (f *fleet) come(address string, connections int, run func(n int, conn net.Conn)) (leave func()) {
+// launch does the same, but returns a function that closes the connections.
+func (f *fleet) launch(address string, connections int, run func(n int, conn net.Conn)) (closeAll func()) {
 	f.t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
--- a/internal/crowder/heads_test.go
+++ b/internal/crowder/heads_test.go
@@ -64,7 +64,7 @@
 
 func testHeads(t *testing.T, run func(int, net.Conn)) {
 	t.Helper()
-	newTown(t, headFiles).visit(headCrowd, run)
+	newDeployment(t, headFiles).sendToEach(headCrowd, run)
 }
 
 func TestCrowdOfLongHeadsOfShortFields(t *testing.T)  { testHeads(t, say(manyFields(longHead))) }
@@ -100,12 +100,12 @@
 }
 
 func TestCrowdsOfShortFieldsAtAllAddresses(t *testing.T) {
-	newTown(t, headFiles).visitAll(headCrowd/4, say(manyFields(longHead)))
+	newDeployment(t, headFiles).sendToAll(headCrowd/4, say(manyFields(longHead)))
 }
 
 // The heads stop half-way, on more connections than the processes have descriptors.
 func TestCrowdOfHeadsThatStopHalfWay(t *testing.T) {
-	newTown(t, maxFiles).visit(2*maxFiles, say(requestLine))
+	newDeployment(t, maxFiles).sendToEach(2*maxFiles, say(requestLine))
 }
 
 // drip lets a crowd send a byte each dripPause at an address.
@@ -154,15 +154,15 @@
 // testDrip expects answers to ordinary requests while the crowd stays.
 func testDrip(t *testing.T, first string) {
 	t.Helper()
-	tn := newTown(t, maxFiles)
-	for name, d := range tn.doors {
+	dep := newDeployment(t, maxFiles)
+	for name, ep := range dep.endpoints {
 		t.Run(name, func(t *testing.T) {
-			tn.t = t
-			leave := drip(d.address, first)
+			dep.t = t
+			leave := drip(ep.address, first)
 			defer leave()
 			// The crowd has all connections after a while.
 			time.Sleep(4 * time.Second)
-			tn.expect(d)
+			dep.expect(ep)
 		})
 	}
 }
@@ -176,19 +176,19 @@
 const bookingHead = "POST /services/coat-desk/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-adoption-app\r\nIdempotency-Key: k\r\nContent-Length: "
 
 func TestCrowdWhoseBodiesDripOverTheOwnInterface(t *testing.T) {
-	tn := newTown(t, maxFiles)
-	d := tn.doors["callers of the own interface"]
-	leave := drip(d.address, fmt.Sprint(bookingHead, legalHead, "\r\n\r\n"))
+	dep := newDeployment(t, maxFiles)
+	ep := dep.endpoints["callers of the own interface"]
+	leave := drip(ep.address, fmt.Sprint(bookingHead, legalHead, "\r\n\r\n"))
 	defer leave()
 	time.Sleep(4 * time.Second)
-	tn.expect(d)
+	dep.expect(ep)
 }
 
 func TestCrowdWhoseBodiesStopShortOverTheOwnInterface(t *testing.T) {
-	tn := newTown(t, maxFiles)
-	d := tn.doors["callers of the own interface"]
-	tn.send(d.address, crowd, say(fmt.Sprint(bookingHead, maxBody, "\r\n\r\n")+strings.Repeat("x", maxBody-1)))
-	tn.expect(d)
+	dep := newDeployment(t, maxFiles)
+	ep := dep.endpoints["callers of the own interface"]
+	dep.send(ep.address, crowd, say(fmt.Sprint(bookingHead, maxBody, "\r\n\r\n")+strings.Repeat("x", maxBody-1)))
+	dep.expect(ep)
 }
 
 // Each connection sends one ordinary request after the other. Ordinary callers on new connections must get their turn.
@@ -199,15 +199,15 @@
 		"control":                      "GET /config HTTP/1.1\r\nHost: h\r\n\r\n",
 		"callers of the own interface": "GET /services/coat-desk/catalogue/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-adoption-app\r\n\r\n",
 	}
-	tn := newTown(t, maxFiles)
+	dep := newDeployment(t, maxFiles)
 	for name, text := range requests {
 		t.Run(name, func(t *testing.T) {
-			tn.t = t
-			d := tn.doors[name]
-			leave := crowdOf(d.address, func(conn net.Conn, stop <-chan struct{}) { ask(conn, text, stop) })
+			dep.t = t
+			ep := dep.endpoints[name]
+			leave := crowdOf(ep.address, func(conn net.Conn, stop <-chan struct{}) { ask(conn, text, stop) })
 			defer leave()
 			time.Sleep(4 * time.Second)
-			tn.expect(d)
+			dep.expect(ep)
 		})
 	}
 }
--- a/internal/crowder/tls_test.go
+++ b/internal/crowder/tls_test.go
@@ -45,13 +45,13 @@
 
 // Over TLS the lines of a head cannot be told before it is decrypted.
 func TestCrowdOfShortFieldsOverTLS(t *testing.T) {
-	tn := newTown(t, headFiles)
-	process, callers, _, _ := tn.startWhole(writeCertificate(t))
+	dep := newDeployment(t, headFiles)
+	process, callers, _, _ := dep.startWhole(writeCertificate(t))
 	insecure := &tls.Config{InsecureSkipVerify: true} //nolint:gosec // The certificate is the test's own.
 	text := manyFields(longHead)
-	tn.send(callers, headCrowd, func(_ int, conn net.Conn) { _, _ = io.WriteString(tls.Client(conn, insecure), text) })
+	dep.send(callers, headCrowd, func(_ int, conn net.Conn) { _, _ = io.WriteString(tls.Client(conn, insecure), text) })
 	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: insecure}}
-	tn.waitFor("an ordinary request is answered", func() bool {
+	dep.waitFor("an ordinary request is answered", func() bool {
 		res, err := client.Get("https://" + callers + "/readyz")
 		if err != nil {
 			return false
@@ -59,5 +59,5 @@
 		defer func() { _ = res.Body.Close() }()
 		return res.StatusCode == http.StatusOK
 	})
-	tn.checkProcess("the process", process, entryMemory/2, headFiles)
+	dep.checkProcess("the process", process, entryMemory/2, headFiles)
 }
