--- a/internal/crowder/addresses_test.go
+++ b/internal/crowder/addresses_test.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// halfHeld is half of the default of limits.max-held; the machines have half of their memory too, so that half of the connections
-	// shows a fault.
+	// halfHeld is half of the default of limits.max-held. Machines have half of their memory too, so that half of the connections
+	// shows a fault. The whole instance keeps the default.
 	halfHeld = "16MiB"
 	// headCrowd is the number of connections of a crowd whose heads take memory, headFiles the descriptors of the processes there.
 	headCrowd = 500
--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -67,8 +67,8 @@
 	return c
 }
 
-// claim is what a connection says for keeping its place.
-type claim struct {
+// eviction tells whether and how soon a connection gives way to a new one.
+type eviction struct {
 	mayGiveWay bool
 	// isLate is true if a request or an answer is late, false if the connection is idle; since is from when on.
 	isLate bool
@@ -76,29 +76,29 @@
 }
 
 // precedes reports whether a connection gives way before another one.
-func (a claim) precedes(b claim) bool {
+func (a eviction) precedes(b eviction) bool {
 	if a.isLate != b.isLate {
 		return a.isLate
 	}
 	return a.since < b.since
 }
 
-// claim reports whether the caller, and not the answer that it waits for, is what takes long.
-func (c *Conn) claim(now timer.Millis) claim {
+// eviction tells whether the caller, and not the answer that it waits for, is what takes long.
+func (c *Conn) eviction(now timer.Millis) eviction {
 	progressAt := timer.Millis(c.progressAt.Load())
 	isWriting := c.writing.Load()
 	if c.isTaken.Load() || c.serving.Load() && !isWriting {
-		return claim{}
+		return eviction{}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case isWriting:
-		return claim{mayGiveWay: now-progressAt >= stallTime, isLate: true, since: progressAt}
+		return eviction{mayGiveWay: now-progressAt >= stallTime, isLate: true, since: progressAt}
 	case c.request.startedAt != 0:
-		return claim{mayGiveWay: c.listener.bounds.Pace.isLate(c.request, now), isLate: true, since: c.request.startedAt}
+		return eviction{mayGiveWay: c.listener.bounds.Pace.isLate(c.request, now), isLate: true, since: c.request.startedAt}
 	}
-	return claim{mayGiveWay: now-progressAt >= stallTime, since: progressAt}
+	return eviction{mayGiveWay: now-progressAt >= stallTime, since: progressAt}
 }
 
 // Read reads what the caller has sent. It fails if the process has no memory for the head of the request.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -336,7 +336,7 @@
 			mayGiveWay := make(chan bool, 1)
 			server := &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				for c := range l.conns {
-					mayGiveWay <- c.claim(l.clock.Now() + timer.Hour).mayGiveWay
+					mayGiveWay <- c.eviction(l.clock.Now() + timer.Hour).mayGiveWay
 				}
 			})}}
 			Attach(server.Config)
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -82,11 +82,11 @@
 // longest time. It returns nil if all may stay.
 func (l *Listener) latest() *Conn {
 	var victim *Conn
-	var first claim
+	var first eviction
 	now := l.clock.Now()
 	for c := range l.conns {
-		if cl := c.claim(now); cl.mayGiveWay && (victim == nil || cl.precedes(first)) {
-			victim, first = c, cl
+		if ev := c.eviction(now); ev.mayGiveWay && (victim == nil || ev.precedes(first)) {
+			victim, first = c, ev
 		}
 	}
 	return victim
