Limiter: a byte that was read ahead is a part of the next head

Callers would see: an idle connection that gives way before others, since it counts as an unfinished request.

Cause: a caller that has its answer sends the next request before the server has noted the end of the last one; the first byte is read by the watch for its departure then. It counted for the next request, but not for its head, so that one byte seemed to be left over after the answer, for as long as the connection was idle.

Change: bytes that were read ahead count for the next head; a single one brings no lines.

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -200,8 +200,13 @@
 		ahead = min(ahead, c.request.bytes-c.head.bytes-c.bodyLength)
 	}
 	lines := min(int64(c.lastLines), ahead)
+	if ahead == 1 {
+		// The server has watched for the departure of the caller, who had the answer already and went on.
+		lines = 0
+	}
 	c.request, c.head, c.isOpen, c.lastBytes, c.lastLines = arrival{}, headEnd{}, false, 0, 0
 	if ahead > 0 {
+		c.head.skip(ahead)
 		now := c.listener.clock.Now()
 		c.request = arrival{startedAt: now, progressAt: now, bytes: ahead}
 	}
--- a/internal/limiter/head.go
+++ b/internal/limiter/head.go
@@ -34,3 +34,9 @@
 	}
 	return lines
 }
+
+// skip counts n bytes of the head that cannot be looked at any more; they do not end it.
+func (h *headEnd) skip(n int64) {
+	h.bytes += n
+	h.lineBytes++
+}
